--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,16 @@
+# The libraries of the workspace, all installed from Debian packages by scripts/install-dependencies.
+find_package(Threads REQUIRED)
+find_package(TBB REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(gRPC CONFIG REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(Popt REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(Urcu REQUIRED IMPORTED_TARGET liburcu-bp)
+pkg_check_modules(Xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(Glog REQUIRED IMPORTED_TARGET libglog)
+find_package(doctest REQUIRED)
+
+add_library(lacewingsail_warnings INTERFACE)
+target_compile_options(lacewingsail_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
--- /dev/null
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ForwardDeclarations.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lacewingsail {
+
+class ConfigurationPeers;
+class ConfigurationState;
+class LogFollower;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/host/lacewingsail/src/Host/ForwardDeclarations.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lacewingsail {
+
+class EntryHost;
+class OperatorApi;
+class SnapshotPublisher;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/host/lacewingsail/src/Host/SnapshotPublisher.cpp
@@ -0,0 +1,36 @@
+#include "SnapshotPublisher.h"
+
+namespace lacewingsail {
+
+SnapshotPublisher::SnapshotPublisher(SnapshotCell& cell)
+    : m_cell(cell)
+{
+}
+
+void SnapshotPublisher::update(const ConfigurationRecord& record, ConfigurationVersion version, std::shared_ptr<const WithdrawnKeys> withdrawn)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto before = m_cell.current();
+    auto fresh = std::make_shared<FleetSnapshot>(*before);
+    fresh->withdrawn = std::move(withdrawn);
+    const bool sameVersion = before->tables && before->tables->version == version;
+    if (record.configuration && !sameVersion) {
+        fresh->tables = makeConfigurationTables(version, record.configuration);
+        fresh->standings = configuredStandings(*record.configuration);
+        fresh->loads = carryLoads(*record.configuration, before.get());
+    }
+    m_cell.publish(std::move(fresh));
+}
+
+void SnapshotPublisher::setKeysStale(bool stale)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto before = m_cell.current();
+    if (before->keysStale == stale)
+        return;
+    auto fresh = std::make_shared<FleetSnapshot>(*before);
+    fresh->keysStale = stale;
+    m_cell.publish(std::move(fresh));
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/http/lacewingsail/src/Http/ForwardDeclarations.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace lacewingsail {
+
+class HttpClient;
+class HttpServer;
+struct HttpField;
+struct HttpRequest;
+struct HttpResponse;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/http/lacewingsail/src/Http/HttpServer.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Message.h"
+
+#include <lacewingsail/World.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <system_error>
+
+namespace lacewingsail {
+
+/// \brief A server for control traffic. The handler runs on one of its threads and may block it.
+class HttpServer {
+public:
+    using Handler = std::function<HttpResponse(const HttpRequest&)>;
+
+    /// \brief Listens and starts \p threads threads. \param error set if the endpoint cannot be listened on.
+    HttpServer(const Endpoint&, int threads, Handler, std::error_code& error);
+
+    /// \brief Closes all connections and joins the threads.
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/limits/lacewingsail/Limits.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/// \brief Umbrella header of the package `limits`: how a client account's rate and burst hold across all hosts.
+
+#include <lacewingsail/Policy.h>
+#include <lacewingsail/World.h>
+
+#include "src/Limits/ForwardDeclarations.h"
+
+#include "src/Limits/EvenSplit.h"
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/EvenSplit.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <lacewingsail/Policy.h>
+#include <lacewingsail/World.h>
+
+#include <mutex>
+#include <unordered_map>
+
+namespace lacewingsail {
+
+/// \brief Gives every host the same fixed share of each account's rate and burst. Never above the limit as long
+/// as there are at most as many hosts as shares; refuses wrongly when callers are not spread evenly.
+class EvenSplit final : public Admission {
+public:
+    EvenSplit(int shares, const Clock&);
+
+    void admit(const ClientAccount&, MonotonicTime deadline, Answer) override;
+
+private:
+    const int m_shares;
+    const Clock& m_clock;
+    const MonotonicTime m_startedAt;
+    std::mutex m_mutex;
+    std::unordered_map<ClientAccountId, TokenBucket> m_buckets;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/ForwardDeclarations.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace lacewingsail {
+
+class EvenSplit;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/observe/lacewingsail/src/Observe/Event.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <lacewingsail/World.h>
+
+#include <string>
+#include <string_view>
+
+namespace lacewingsail {
+
+/// \brief One event as a line of key=value pairs. Values with spaces, quotes or control characters are quoted.
+class Event {
+public:
+    explicit Event(std::string_view name);
+
+    Event& with(std::string_view key, std::string_view value);
+    Event& with(std::string_view key, const char* value) { return with(key, std::string_view(value)); }
+    Event& with(std::string_view key, long long value);
+    Event& with(std::string_view key, ResultCode);
+
+    template <typename Tag>
+    Event& with(std::string_view key, const StrongId<Tag>& id) { return with(key, std::string_view(id.value())); }
+
+    const std::string& line() const { return m_line; }
+
+private:
+    std::string m_line;
+};
+
+/// \brief Sends log lines to the standard error stream, one event a line, each with its time.
+void startLog(const char* program);
+
+/// \brief Writes the event to the log.
+void log(const Event&);
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/peers/lacewingsail/src/Peers/PeerChannels.cpp
@@ -0,0 +1,28 @@
+#include <lacewingsail/PeerCalls.h>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr int longestReconnectMilliseconds = 1000;
+    constexpr int firstReconnectMilliseconds = 100;
+
+} // namespace internal
+
+std::shared_ptr<grpc::Channel> PeerChannels::to(const Endpoint& endpoint)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& channel = m_channels[endpoint];
+    if (!channel) {
+        grpc::ChannelArguments arguments;
+        // A peer that was cut off must be heard again within seconds, not after gRPC's default of minutes.
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, internal::longestReconnectMilliseconds);
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, internal::firstReconnectMilliseconds);
+        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, internal::firstReconnectMilliseconds);
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        channel = grpc::CreateCustomChannel(text(endpoint), grpc::InsecureChannelCredentials(), arguments);
+    }
+    return channel;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/Policy.h
@@ -0,0 +1,19 @@
+#pragma once
+
+/// \brief Umbrella header of the package `policy`: every decision of the fleet as free functions over plain
+/// structs. Nothing here does I/O, starts a thread or reads a clock; time is an argument.
+
+#include <lacewingsail/World.h>
+
+#include "src/Policy/ForwardDeclarations.h"
+
+#include "src/Policy/Admission.h"
+#include "src/Policy/Attempt.h"
+#include "src/Policy/Choice.h"
+#include "src/Policy/ConfigurationFold.h"
+#include "src/Policy/Evidence.h"
+#include "src/Policy/FleetSnapshot.h"
+#include "src/Policy/Keys.h"
+#include "src/Policy/Routing.h"
+#include "src/Policy/TextHash.h"
+#include "src/Policy/TokenBucket.h"
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.cpp
@@ -0,0 +1,64 @@
+#include <lacewingsail/Policy.h>
+
+#include <cassert>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    using ServerName = std::pair<ServiceId, BackendServerId>;
+
+    std::map<ServerName, std::shared_ptr<BackendServerLoad>> loadsByName(const FleetSnapshot* snapshot)
+    {
+        std::map<ServerName, std::shared_ptr<BackendServerLoad>> result;
+        if (!snapshot || !snapshot->tables)
+            return result;
+        const auto& services = snapshot->tables->configuration->services;
+        for (std::size_t service = 0; service < services.size(); ++service) {
+            for (std::size_t server = 0; server < services[service].backendServers.size(); ++server)
+                result.emplace(ServerName { services[service].id, services[service].backendServers[server].id }, snapshot->loads[service][server]);
+        }
+        return result;
+    }
+
+} // namespace internal
+
+std::shared_ptr<const ConfigurationTables> makeConfigurationTables(ConfigurationVersion version, std::shared_ptr<const Configuration> configuration)
+{
+    assert(configuration);
+    auto tables = std::make_shared<ConfigurationTables>();
+    tables->version = version;
+    tables->routes = makeRouteTable(configuration->routes);
+    tables->keys = makeKeyTable(configuration->accounts);
+    for (std::size_t index = 0; index < configuration->services.size(); ++index)
+        tables->services.emplace(configuration->services[index].id, ServiceIndex { index });
+    tables->configuration = std::move(configuration);
+    return tables;
+}
+
+std::vector<std::vector<Standing>> configuredStandings(const Configuration& configuration)
+{
+    std::vector<std::vector<Standing>> standings;
+    for (const Service& service : configuration.services) {
+        auto& row = standings.emplace_back();
+        for (const BackendServer& server : service.backendServers)
+            row.push_back(server.leaving ? Standing::Leaving : Standing::Serving);
+    }
+    return standings;
+}
+
+std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> carryLoads(const Configuration& configuration, const FleetSnapshot* before)
+{
+    auto known = internal::loadsByName(before);
+    std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> loads;
+    for (const Service& service : configuration.services) {
+        auto& row = loads.emplace_back();
+        for (const BackendServer& server : service.backendServers) {
+            auto& load = known[{ service.id, server.id }];
+            row.push_back(load ? load : std::make_shared<BackendServerLoad>());
+        }
+    }
+    return loads;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Keys.h"
+#include "Routing.h"
+
+#include <lacewingsail/World.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace lacewingsail {
+
+/// \brief Position of a service in Configuration::services.
+enum class ServiceIndex : std::size_t {};
+
+/// \brief Position of a backend server in Service::backendServers.
+enum class ServerIndex : std::size_t {};
+
+/// \brief Whether a backend server gets new work from this host.
+enum class Standing : unsigned char {
+    Serving,
+    Ejected,
+    Leaving,
+};
+
+/// \brief What this host has under way with one backend server. Written by all request threads.
+struct BackendServerLoad {
+    std::atomic<int> inFlight { 0 };
+    /// Smoothed time to answer, in microseconds.
+    std::atomic<std::int64_t> latency { 0 };
+};
+
+/// \brief A version of the configuration with the tables that requests look things up in.
+struct ConfigurationTables {
+    ConfigurationVersion version = ConfigurationVersion::None;
+    std::shared_ptr<const Configuration> configuration;
+    RouteTable routes;
+    KeyTable keys;
+    std::map<ServiceId, ServiceIndex> services;
+};
+
+/// \brief All that a request's decisions read: immutable, replaced as a whole.
+struct FleetSnapshot {
+    /// Null until a first configuration is in force.
+    std::shared_ptr<const ConfigurationTables> tables;
+    std::shared_ptr<const WithdrawnKeys> withdrawn;
+    /// Set while the host cannot learn of withdrawals.
+    bool keysStale = false;
+    /// Aligned with the configuration's services and their backend servers.
+    std::vector<std::vector<Standing>> standings;
+    std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> loads;
+};
+
+/// \brief Indexes a configuration. Allocates; the cost is linear in its size.
+std::shared_ptr<const ConfigurationTables> makeConfigurationTables(ConfigurationVersion, std::shared_ptr<const Configuration>);
+
+/// \returns standings in which only what the configuration marks as leaving is not serving.
+std::vector<std::vector<Standing>> configuredStandings(const Configuration&);
+
+/// \brief Loads aligned with \p configuration; servers that were in \p before keep theirs.
+/// \param before null if there was no snapshot.
+std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> carryLoads(const Configuration& configuration, const FleetSnapshot* before);
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/TokenBucket.cpp
@@ -0,0 +1,34 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // Beyond this a bucket of any legal burst is full; the bound keeps the product within 64 bits.
+    constexpr std::chrono::seconds longestRefill { 86'400 };
+
+} // namespace internal
+
+void refillUntil(TokenBucket& bucket, MonotonicTime now)
+{
+    if (now <= bucket.refilledAt)
+        return;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - bucket.refilledAt);
+    const auto counted = std::min<std::chrono::microseconds>(elapsed, internal::longestRefill);
+    bucket.available = std::min(bucket.burst, bucket.available + refill(bucket.rate, counted));
+    // Only whole microseconds are counted; the rest stays for the next refill.
+    bucket.refilledAt += elapsed;
+}
+
+bool take(TokenBucket& bucket, MicroTokens amount, MonotonicTime now)
+{
+    refillUntil(bucket, now);
+    if (bucket.available < amount)
+        return false;
+    bucket.available = bucket.available - amount;
+    return true;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/proxy/lacewingsail/src/Proxy/ForwardDeclarations.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lacewingsail {
+
+class ProxyServer;
+class SnapshotCell;
+struct ProxyServices;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -0,0 +1,126 @@
+#include "RequestPath.h"
+
+#include "Await.h"
+#include "Dispatch.h"
+#include "Refusal.h"
+#include "Relay.h"
+
+#include <lacewingsail/Wire.h>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::chrono::seconds answerWriteTimeout { 30 };
+    constexpr const char* openAccountLabel = "(open)";
+
+    ResultCode route(RequestContext& request)
+    {
+        if (!request.snapshot->tables)
+            return ResultCode::NoConfiguration;
+        const auto method = request.message.method_string();
+        const auto target = request.message.target();
+        request.route = findRoute(request.snapshot->tables->routes, { method.data(), method.size() }, { target.data(), target.size() });
+        if (!request.route)
+            return ResultCode::NoRoute;
+        request.deadline = request.arrivedAt + request.route->deadline;
+        return ResultCode::Ok;
+    }
+
+    ResultCode identifyAccount(RequestContext& request)
+    {
+        if (request.route->access == Access::Open)
+            return ResultCode::Ok;
+        if (request.snapshot->keysStale)
+            return ResultCode::KeysStale;
+        const std::string_view secret = presentedSecret(request.message);
+        const std::string digest = secret.empty() ? std::string() : sha256(secret);
+        const Identification identification = identify(request.snapshot->tables->keys, *request.snapshot->withdrawn, digest);
+        if (identification.code == ResultCode::Ok)
+            request.account = &request.snapshot->tables->configuration->accounts[static_cast<std::size_t>(identification.account)];
+        return identification.code;
+    }
+
+    net::awaitable<ResultCode> admitAccount(RequestContext& request)
+    {
+        if (!request.account)
+            co_return ResultCode::Ok;
+        co_return co_await awaitAnswer<ResultCode>([&request](std::function<void(ResultCode)> answer) {
+            request.thread.services.admission.admit(*request.account, request.deadline, std::move(answer));
+        });
+    }
+
+    net::awaitable<ResultCode> decide(RequestContext& request)
+    {
+        if (const ResultCode code = checkRequestHeader(request.message); code != ResultCode::Ok)
+            co_return code;
+        if (const ResultCode code = route(request); code != ResultCode::Ok)
+            co_return code;
+        if (const ResultCode code = identifyAccount(request); code != ResultCode::Ok)
+            co_return code;
+        co_return co_await admitAccount(request);
+    }
+
+    std::string accountLabel(const RequestContext& request)
+    {
+        return request.account ? request.account->id.value() : openAccountLabel;
+    }
+
+    void recordEnd(const RequestContext& request, ResultCode code, const AttemptTarget& target)
+    {
+        const ProxyServices& services = request.thread.services;
+        const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(services.clock.now() - request.arrivedAt);
+        services.metrics.counter("requests_total", "result", entryOf(code).name).fetch_add(1, std::memory_order_relaxed);
+        services.metrics.latency("request_seconds", "account", accountLabel(request)).fill(elapsed);
+        if (code == ResultCode::Ok)
+            return;
+        Event event("request-refused");
+        event.with("request", request.id).with("result", code).with("account", accountLabel(request)).with("host", services.settings.id);
+        if (request.route)
+            event.with("route", request.route->id);
+        if (target.server)
+            event.with("service", target.service->id).with("server", target.server->id);
+        services.journal.record(event);
+    }
+
+    net::awaitable<bool> refuse(RequestContext& request, beast::tcp_stream& caller, Answer answer, ResultCode code, const AttemptTarget& target, bool closing)
+    {
+        recordEnd(request, code, target);
+        const bool sent = co_await sendAnswer(caller, std::move(answer), closing);
+        co_return sent && !closing;
+    }
+
+    net::awaitable<bool> relayAndRecord(RequestContext& request, beast::tcp_stream& caller, const AttemptTarget& target, AnswerBegun begun, bool closing)
+    {
+        const RelayEnd end = co_await relay(request, target, std::move(begun), caller, closing);
+        recordEnd(request, end == RelayEnd::Whole ? ResultCode::Ok : ResultCode::UpstreamBroken, target);
+        co_return end == RelayEnd::Whole && !closing;
+    }
+
+} // namespace
+
+net::awaitable<bool> sendAnswer(beast::tcp_stream& caller, http::response<http::string_body> answer, bool closing)
+{
+    answer.keep_alive(!closing);
+    answer.prepare_payload();
+    boost::system::error_code error;
+    caller.expires_after(answerWriteTimeout);
+    co_await http::async_write(caller, answer, net::redirect_error(net::use_awaitable, error));
+    co_return !error;
+}
+
+net::awaitable<bool> serveRequest(RequestContext& request, beast::tcp_stream& caller, bool closing)
+{
+    AttemptTarget target;
+    const ResultCode code = co_await decide(request);
+    if (code != ResultCode::Ok)
+        co_return co_await refuse(request, caller, refusalBeforeAttempt(code, request.id), code, target, closing);
+    AttemptResult result = co_await dispatch(request, target);
+    if (const auto* notRun = std::get_if<NotRun>(&result))
+        co_return co_await refuse(request, caller, refusal(*notRun, request.id), notRun->code(), target, closing);
+    if (const auto* unknown = std::get_if<OutcomeUnknown>(&result))
+        co_return co_await refuse(request, caller, refusal(*unknown, request.id), unknown->code(), target, closing);
+    co_return co_await relayAndRecord(request, caller, target, std::move(std::get<AnswerBegun>(result)), closing);
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/wire/lacewingsail/src/Wire/ForwardDeclarations.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lacewingsail {
+
+struct ConfigurationChange;
+struct KeyWithdrawal;
+struct Problem;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -0,0 +1,70 @@
+#include <lacewingsail/Wire.h>
+
+#include "JsonReader.h"
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::int64_t mostThreads = 256;
+    constexpr std::int64_t mostLimitSlots = 4096;
+    constexpr std::int64_t largestHeader = 1 << 20;
+    constexpr std::int64_t largestBody = 1 << 28;
+    constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
+    constexpr std::size_t shortestSecret = 16;
+
+    void readEndpoint(JsonReader& reader, std::string_view name, Endpoint& endpoint)
+    {
+        const std::string value = reader.text(name);
+        if (!value.empty() && !parseEndpoint(value, endpoint))
+            reader.problem(name, "must be an IP number and a port, as in 127.0.0.1:8080");
+    }
+
+    std::chrono::milliseconds readTimeout(JsonReader& reader, std::string_view name, std::chrono::milliseconds fallback)
+    {
+        return std::chrono::milliseconds(reader.integer(name, 1, longestTimeoutMilliseconds, fallback.count()));
+    }
+
+    CallerLimits readLimits(const boost::json::value& value, const std::string& path, Problems& problems)
+    {
+        CallerLimits limits;
+        JsonReader reader(value, path, problems);
+        limits.headerBytes = static_cast<std::size_t>(reader.integer("header_bytes", 1024, largestHeader, static_cast<std::int64_t>(limits.headerBytes)));
+        limits.bodyBytes = static_cast<std::size_t>(reader.integer("body_bytes", 0, largestBody, static_cast<std::int64_t>(limits.bodyBytes)));
+        limits.requestTimeout = readTimeout(reader, "request_timeout_ms", limits.requestTimeout);
+        limits.idleTimeout = readTimeout(reader, "idle_timeout_ms", limits.idleTimeout);
+        reader.finish();
+        return limits;
+    }
+
+} // namespace internal
+
+std::optional<HostSettings> parseSettings(std::string_view json, Problems& problems)
+{
+    const std::size_t before = problems.size();
+    const auto value = internal::parseJson(json, problems);
+    if (!value)
+        return std::nullopt;
+    internal::JsonReader reader(*value, "", problems);
+    HostSettings settings;
+    settings.id = HostId(reader.text("host"));
+    settings.zone = ZoneId(reader.text("zone"));
+    internal::readEndpoint(reader, "callers", settings.callers);
+    internal::readEndpoint(reader, "operators", settings.operators);
+    internal::readEndpoint(reader, "peers", settings.peers);
+    internal::readEndpoint(reader, "log", settings.log);
+    internal::readEndpoint(reader, "host_list", settings.hostList);
+    settings.threads = static_cast<int>(reader.integer("threads", 1, internal::mostThreads, settings.threads));
+    settings.limitSlots = static_cast<int>(reader.integer("limit_slots", 1, internal::mostLimitSlots, settings.limitSlots));
+    settings.fleetSecret = reader.text("fleet_secret");
+    if (!settings.fleetSecret.empty() && settings.fleetSecret.size() < internal::shortestSecret)
+        reader.problem("fleet_secret", "must have at least 16 characters");
+    if (const auto* limits = reader.field("caller_limits", false))
+        settings.limits = internal::readLimits(*limits, "caller_limits", problems);
+    reader.finish();
+    if (problems.size() != before)
+        return std::nullopt;
+    return settings;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/world/lacewingsail/src/World/Ids.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace lacewingsail {
+
+/// \brief A name that cannot be mixed up with a name of another kind.
+/// \tparam Tag an otherwise unused type that tells the kinds apart.
+template <typename Tag>
+class StrongId {
+public:
+    StrongId() = default;
+    explicit StrongId(std::string value)
+        : m_value(std::move(value))
+    {
+    }
+
+    const std::string& value() const { return m_value; }
+    bool empty() const { return m_value.empty(); }
+
+    auto operator<=>(const StrongId&) const = default;
+
+private:
+    std::string m_value;
+};
+
+using HostId = StrongId<struct HostTag>;
+using ZoneId = StrongId<struct ZoneTag>;
+using ServiceId = StrongId<struct ServiceTag>;
+using BackendServerId = StrongId<struct BackendServerTag>;
+using ClientAccountId = StrongId<struct ClientAccountTag>;
+using KeyId = StrongId<struct KeyTag>;
+using RouteId = StrongId<struct RouteTag>;
+using RequestId = StrongId<struct RequestTag>;
+
+/// \brief A version of the configuration: the number of accepted changes up to it. 0 stands for none.
+enum class ConfigurationVersion : unsigned long long {
+    None = 0,
+};
+
+/// \returns the version as a plain number, for logs and messages.
+constexpr unsigned long long number(ConfigurationVersion version) { return static_cast<unsigned long long>(version); }
+
+} // namespace lacewingsail
+
+template <typename Tag>
+struct std::hash<lacewingsail::StrongId<Tag>> {
+    std::size_t operator()(const lacewingsail::StrongId<Tag>& id) const { return std::hash<std::string> {}(id.value()); }
+};
--- /dev/null
+++ b/packages/world/lacewingsail/src/World/Settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Machines.h"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace lacewingsail {
+
+/// \brief Limits on what one caller's connection may use.
+struct CallerLimits {
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 1024 * 1024;
+    std::chrono::milliseconds requestTimeout { 10'000 };
+    std::chrono::milliseconds idleTimeout { 60'000 };
+};
+
+/// \brief What a process of the fleet learns from its settings file.
+struct HostSettings {
+    HostId id;
+    ZoneId zone;
+    Endpoint callers;
+    Endpoint operators;
+    Endpoint peers;
+    /// The platform's log service.
+    Endpoint log;
+    /// The platform's list of hosts.
+    Endpoint hostList;
+    /// Threads that carry requests.
+    int threads = 2;
+    /// Parts into which every account's rate and burst are divided; at least the number of hosts.
+    int limitSlots = 64;
+    /// Shared secret of operators and hosts; never printed.
+    std::string fleetSecret;
+    CallerLimits limits;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/programs/lacewingd/main.cpp
@@ -0,0 +1,122 @@
+/// \brief `lacewingd`: the process of one entry host.
+
+#include <lacewingsail/Host.h>
+#include <lacewingsail/Observe.h>
+#include <lacewingsail/Wire.h>
+
+#include <popt.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace lacewingsail {
+
+namespace {
+
+    constexpr int exitUsage = 2;
+    constexpr int exitFailure = 1;
+    constexpr std::chrono::milliseconds drainCheckInterval { 50 };
+
+    struct Options {
+        std::string settingsFile;
+        bool checkOnly = false;
+    };
+
+    // Returns false after having said what is wrong.
+    bool parseOptions(int argumentCount, const char** arguments, Options& options)
+    {
+        char* settingsFile = nullptr;
+        int checkOnly = 0;
+        const poptOption table[] = {
+            { "settings", 's', POPT_ARG_STRING, &settingsFile, 0, "read the settings of this host from FILE", "FILE" },
+            { "check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr },
+            POPT_AUTOHELP POPT_TABLEEND
+        };
+        poptContext context = poptGetContext("lacewingd", argumentCount, arguments, table, 0);
+        const int result = poptGetNextOpt(context);
+        if (result < -1)
+            std::cerr << "lacewingd: " << poptBadOption(context, 0) << ": " << poptStrerror(result) << '\n';
+        const bool surplus = poptPeekArg(context) != nullptr;
+        if (surplus)
+            std::cerr << "lacewingd: unexpected argument " << poptPeekArg(context) << '\n';
+        if (settingsFile)
+            options.settingsFile = settingsFile;
+        free(settingsFile); // NOLINT: popt allocates it with malloc
+        options.checkOnly = checkOnly != 0;
+        poptFreeContext(context);
+        if (result == -1 && !surplus && options.settingsFile.empty())
+            std::cerr << "lacewingd: --settings FILE is required\n";
+        return result == -1 && !surplus && !options.settingsFile.empty();
+    }
+
+    std::optional<HostSettings> readSettings(const std::string& file)
+    {
+        std::ifstream stream(file);
+        if (!stream) {
+            std::cerr << "lacewingd: cannot read " << file << '\n';
+            return std::nullopt;
+        }
+        std::ostringstream content;
+        content << stream.rdbuf();
+        Problems problems;
+        auto settings = parseSettings(content.str(), problems);
+        if (!settings)
+            std::cerr << "lacewingd: " << file << " has errors:\n"
+                      << text(problems);
+        return settings;
+    }
+
+    sigset_t stopSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        return signals;
+    }
+
+    int serve(HostSettings settings)
+    {
+        // Blocked before any thread starts, so that only sigwait sees them.
+        const sigset_t signals = stopSignals();
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        std::signal(SIGPIPE, SIG_IGN);
+        std::error_code error;
+        EntryHost host(std::move(settings), error);
+        if (error) {
+            std::cerr << "lacewingd: cannot listen: " << error.message() << '\n';
+            return exitFailure;
+        }
+        int signal = 0;
+        sigwait(&signals, &signal);
+        host.drain();
+        while (!host.drained())
+            std::this_thread::sleep_for(drainCheckInterval);
+        log(Event("host-stopped"));
+        return 0;
+    }
+
+    int run(int argumentCount, const char** arguments)
+    {
+        Options options;
+        if (!parseOptions(argumentCount, arguments, options))
+            return exitUsage;
+        auto settings = readSettings(options.settingsFile);
+        if (!settings)
+            return exitUsage;
+        if (options.checkOnly)
+            return 0;
+        startLog("lacewingd");
+        return serve(std::move(*settings));
+    }
+
+} // namespace
+
+} // namespace lacewingsail
+
+int main(int argumentCount, char** arguments) { return lacewingsail::run(argumentCount, const_cast<const char**>(arguments)); }
--- /dev/null
+++ b/tests/RoutingTest.cpp
@@ -0,0 +1,49 @@
+#include <lacewingsail/Policy.h>
+
+#include <doctest/doctest.h>
+
+using namespace lacewingsail;
+
+namespace {
+
+struct RoutingFixture {
+    std::vector<Route> routes;
+    RouteTable table;
+
+    RoutingFixture()
+    {
+        addRoute("root", "GET", "/");
+        addRoute("clocks", "GET", "/clocks");
+        addRoute("book", "POST", "/clocks");
+        table = makeRouteTable(routes);
+    }
+
+    void addRoute(const char* name, const char* method, const char* prefix)
+    {
+        Route route;
+        route.id = RouteId(name);
+        route.method = method;
+        route.pathPrefix = prefix;
+        routes.push_back(route);
+    }
+
+    std::string found(const char* method, const char* target) const
+    {
+        const Route* route = findRoute(table, method, target);
+        return route ? route->id.value() : "";
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RoutingFixture, "findRoute, nested path, takes the longest prefix")
+{
+    CHECK(found("GET", "/clocks/7?x=/y") == "clocks");
+    CHECK(found("POST", "/clocks") == "book");
+}
+
+TEST_CASE_FIXTURE(RoutingFixture, "findRoute, prefix ends inside a segment, does not match it")
+{
+    CHECK(found("GET", "/clocksmith") == "root");
+    CHECK(found("POST", "/clocksmith").empty());
+}
