--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -11,6 +11,7 @@
 pkg_check_modules(Xxhash REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(Glog REQUIRED IMPORTED_TARGET libglog)
 find_package(doctest REQUIRED)
+find_package(rapidcheck REQUIRED)
 
 add_library(lacewingsail_warnings INTERFACE)
 target_compile_options(lacewingsail_warnings INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
