--- a/packages/observe/lacewingsail/src/Observe/Event.cpp
+++ b/packages/observe/lacewingsail/src/Observe/Event.cpp
@@ -63,11 +63,13 @@
     google::InitGoogleLogging(program);
 }
 
-void log(const Event& event)
+void log(const Event& event) { logLine(event.line()); }
+
+void logLine(std::string_view line)
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    LOG(INFO) << "time_ms=" << milliseconds << ' ' << event.line();
+    LOG(INFO) << "time_ms=" << milliseconds << ' ' << line;
 }
 
 } // namespace lacewingsail
--- a/packages/observe/lacewingsail/src/Observe/Event.h
+++ b/packages/observe/lacewingsail/src/Observe/Event.h
@@ -29,7 +29,10 @@
 /// \brief Sends log lines to the standard error stream, one event a line, each with its time.
 void startLog(const char* program);
 
-/// \brief Writes the event to the log.
+/// \brief Writes the event to the log. May wait for the log stream; not for request threads.
 void log(const Event&);
 
+/// \brief Writes the line of an event to the log.
+void logLine(std::string_view line);
+
 } // namespace lacewingsail
--- a/packages/observe/lacewingsail/src/Observe/ForwardDeclarations.h
+++ b/packages/observe/lacewingsail/src/Observe/ForwardDeclarations.h
@@ -6,5 +6,7 @@
 class Journal;
 class LatencyHistogram;
 class Metrics;
+template <typename Series>
+class SeriesFamily;
 
 } // namespace lacewingsail
--- a/packages/observe/lacewingsail/src/Observe/Journal.cpp
+++ b/packages/observe/lacewingsail/src/Observe/Journal.cpp
@@ -1,33 +1,102 @@
 #include <lacewingsail/Observe.h>
 
+#include <oneapi/tbb/concurrent_queue.h>
+
+#include <atomic>
 #include <cassert>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
 
 namespace lacewingsail {
 
+namespace internal {
+
+    constexpr std::chrono::milliseconds journalWriteInterval { 20 };
+
+} // namespace internal
+
+struct Journal::Implementation {
+    explicit Implementation(std::size_t journalCapacity)
+        : capacity(journalCapacity)
+        , writer([this] { write(); })
+    {
+    }
+
+    // Called with the mutex held.
+    void takePending()
+    {
+        std::string line;
+        while (pending.try_pop(line)) {
+            waiting.fetch_sub(1, std::memory_order_relaxed);
+            logLine(line);
+            if (kept.size() == capacity)
+                kept.pop_front();
+            kept.push_back(std::move(line));
+        }
+    }
+
+    void write()
+    {
+        std::unique_lock lock(mutex);
+        while (!stopping) {
+            takePending();
+            stopRequested.wait_for(lock, internal::journalWriteInterval, [this] { return stopping; });
+        }
+        takePending();
+    }
+
+    const std::size_t capacity;
+    tbb::concurrent_queue<std::string> pending;
+    std::atomic<std::size_t> waiting { 0 };
+    std::atomic<std::uint64_t> dropped { 0 };
+    std::mutex mutex;
+    std::condition_variable stopRequested;
+    bool stopping = false;
+    std::deque<std::string> kept;
+    std::thread writer;
+};
+
 Journal::Journal(std::size_t capacity)
-    : m_capacity(capacity)
+    : m_implementation(std::make_unique<Implementation>(capacity))
 {
     assert(capacity > 0);
 }
 
+Journal::~Journal()
+{
+    {
+        const std::lock_guard lock(m_implementation->mutex);
+        m_implementation->stopping = true;
+    }
+    m_implementation->stopRequested.notify_all();
+    m_implementation->writer.join();
+}
+
 void Journal::record(const Event& event)
 {
-    log(event);
-    const std::lock_guard lock(m_mutex);
-    if (m_lines.size() == m_capacity)
-        m_lines.pop_front();
-    m_lines.push_back(event.line());
+    // The bound may be passed by as many events as there are threads, which does no harm.
+    if (m_implementation->waiting.load(std::memory_order_relaxed) >= m_implementation->capacity) {
+        m_implementation->dropped.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    m_implementation->waiting.fetch_add(1, std::memory_order_relaxed);
+    m_implementation->pending.push(event.line());
 }
 
 std::vector<std::string> Journal::linesWith(std::string_view part) const
 {
-    const std::lock_guard lock(m_mutex);
+    const std::lock_guard lock(m_implementation->mutex);
+    m_implementation->takePending();
     std::vector<std::string> result;
-    for (const std::string& line : m_lines) {
+    for (const std::string& line : m_implementation->kept) {
         if (line.find(part) != std::string::npos)
             result.push_back(line);
     }
     return result;
 }
 
+std::uint64_t Journal::dropped() const { return m_implementation->dropped.load(std::memory_order_relaxed); }
+
 } // namespace lacewingsail
--- a/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
@@ -17,6 +17,8 @@
     explicit RequestThread(const ProxyServices& proxyServices, std::uint64_t seed)
         : services(proxyServices)
         , random(seed)
+        , requests(proxyServices.metrics, "requests_total", "result")
+        , times(proxyServices.metrics, "request_seconds", "account")
     {
     }
 
@@ -24,6 +26,8 @@
     net::io_context context { 1 };
     UpstreamPool pool;
     std::mt19937_64 random;
+    CounterFamily requests;
+    LatencyFamily times;
 };
 
 /// \brief A request from its arrival to its answer.
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr std::chrono::seconds answerWriteTimeout { 30 };
-    constexpr const char* openAccountLabel = "(open)";
+    constexpr std::string_view openAccountLabel = "(open)";
 
     ResultCode route(RequestContext& request)
     {
@@ -61,17 +61,17 @@
         co_return co_await admitAccount(request);
     }
 
-    std::string accountLabel(const RequestContext& request)
+    std::string_view accountLabel(const RequestContext& request)
     {
-        return request.account ? request.account->id.value() : openAccountLabel;
+        return request.account ? std::string_view(request.account->id.value()) : openAccountLabel;
     }
 
     void recordEnd(const RequestContext& request, ResultCode code, const AttemptTarget& target)
     {
         const ProxyServices& services = request.thread.services;
         const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(services.clock.now() - request.arrivedAt);
-        services.metrics.counter("requests_total", "result", entryOf(code).name).fetch_add(1, std::memory_order_relaxed);
-        services.metrics.latency("request_seconds", "account", accountLabel(request)).fill(elapsed);
+        request.thread.requests.at(entryOf(code).name).fetch_add(1, std::memory_order_relaxed);
+        request.thread.times.at(accountLabel(request)).fill(elapsed);
         if (code == ResultCode::Ok)
             return;
         Event event("request-refused");
