--- a/packages/http/lacewingsail/src/Http/HttpClient.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
+#include <atomic>
 #include <limits>
 
 namespace lacewingsail {
@@ -11,15 +12,19 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-struct HttpClient::Connection {
-    net::io_context context;
-    beast::tcp_stream stream { context };
-    beast::flat_buffer buffer;
-    bool open = false;
-};
-
 namespace internal {
 
+    struct ControlConnection {
+        explicit ControlConnection(net::io_context& context)
+            : stream(context)
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        bool open = false;
+    };
+
     http::request<http::string_body> toBeast(const HttpRequest& request, const Endpoint& endpoint)
     {
         http::request<http::string_body> message;
@@ -44,67 +49,100 @@
         return response;
     }
 
-    net::awaitable<void> exchange(beast::tcp_stream& stream, beast::flat_buffer& buffer, bool& open, const Endpoint& endpoint,
-        const http::request<http::string_body>& request, http::response_parser<http::string_body>& parser)
+    net::awaitable<void> exchange(ControlConnection& connection, const Endpoint& endpoint, const http::request<http::string_body>& request,
+        http::response_parser<http::string_body>& parser, const std::atomic<bool>& interrupted)
     {
-        if (!open) {
-            co_await stream.async_connect(net::ip::tcp::endpoint(net::ip::make_address(endpoint.address), endpoint.port), net::use_awaitable);
-            stream.socket().set_option(net::ip::tcp::no_delay(true));
-            open = true;
+        // An interruption that came before there was anything to cancel.
+        if (interrupted)
+            throw boost::system::system_error(net::error::operation_aborted);
+        if (!connection.open) {
+            co_await connection.stream.async_connect(net::ip::tcp::endpoint(net::ip::make_address(endpoint.address), endpoint.port), net::use_awaitable);
+            connection.stream.socket().set_option(net::ip::tcp::no_delay(true));
+            connection.open = true;
+        }
+        co_await http::async_write(connection.stream, request, net::use_awaitable);
+        co_await http::async_read(connection.stream, connection.buffer, parser, net::use_awaitable);
+    }
+
+    std::error_code codeOf(const std::exception_ptr& failure)
+    {
+        try {
+            std::rethrow_exception(failure);
+        } catch (const boost::system::system_error& problem) {
+            return problem.code();
         }
-        co_await http::async_write(stream, request, net::use_awaitable);
-        co_await http::async_read(stream, buffer, parser, net::use_awaitable);
     }
 
 } // namespace internal
 
+struct HttpClient::Implementation {
+    explicit Implementation(Endpoint serverEndpoint)
+        : endpoint(std::move(serverEndpoint))
+    {
+    }
+
+    // Runs the exchange until it ends or the time is over. The connection is of no further use after an error.
+    std::error_code run(const http::request<http::string_body>& message, http::response_parser<http::string_body>& parser, std::chrono::milliseconds timeout);
+
+    const Endpoint endpoint;
+    net::io_context context;
+    std::unique_ptr<internal::ControlConnection> connection;
+    std::atomic<bool> interrupted { false };
+};
+
+std::error_code HttpClient::Implementation::run(
+    const http::request<http::string_body>& message, http::response_parser<http::string_body>& parser, std::chrono::milliseconds timeout)
+{
+    std::exception_ptr failure;
+    bool done = false;
+    net::co_spawn(context, internal::exchange(*connection, endpoint, message, parser, interrupted), [&](std::exception_ptr exception) {
+        failure = exception;
+        done = true;
+    });
+    context.restart();
+    context.run_for(timeout);
+    if (!done) {
+        connection->stream.cancel();
+        context.restart();
+        context.run();
+        return std::make_error_code(std::errc::timed_out);
+    }
+    return failure ? internal::codeOf(failure) : std::error_code();
+}
+
 HttpClient::HttpClient(Endpoint endpoint)
-    : m_endpoint(std::move(endpoint))
+    : m_implementation(std::make_unique<Implementation>(std::move(endpoint)))
 {
 }
 
 HttpClient::~HttpClient() = default;
-HttpClient::HttpClient(HttpClient&&) noexcept = default;
-HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
 
 HttpResponse HttpClient::send(const HttpRequest& request, std::chrono::milliseconds timeout, std::error_code& error)
 {
-    error.clear();
-    if (!m_connection)
-        m_connection = std::make_unique<Connection>();
-    Connection& connection = *m_connection;
-    const auto message = internal::toBeast(request, m_endpoint);
+    auto& connection = m_implementation->connection;
+    if (!connection)
+        connection = std::make_unique<internal::ControlConnection>(m_implementation->context);
     http::response_parser<http::string_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    std::exception_ptr failure;
-    bool done = false;
-    net::co_spawn(connection.context, internal::exchange(connection.stream, connection.buffer, connection.open, m_endpoint, message, parser),
-        [&](std::exception_ptr exception) {
-            failure = exception;
-            done = true;
-        });
-    connection.context.restart();
-    connection.context.run_for(timeout);
-    if (!done) {
-        connection.stream.cancel();
-        connection.context.restart();
-        connection.context.run();
-        failure = std::make_exception_ptr(boost::system::system_error(net::error::timed_out));
-    }
-    if (failure) {
-        m_connection.reset();
-        try {
-            std::rethrow_exception(failure);
-        } catch (const boost::system::system_error& problem) {
-            error = problem.code();
-        }
+    error = m_implementation->run(internal::toBeast(request, m_implementation->endpoint), parser, timeout);
+    if (error) {
+        connection.reset();
         return {};
     }
     const bool keep = parser.get().keep_alive();
     HttpResponse response = internal::fromBeast(parser.release());
     if (!keep)
-        m_connection.reset();
+        connection.reset();
     return response;
 }
 
+void HttpClient::interrupt()
+{
+    m_implementation->interrupted = true;
+    net::post(m_implementation->context, [implementation = m_implementation.get()] {
+        if (implementation->connection)
+            implementation->connection->stream.cancel();
+    });
+}
+
 } // namespace lacewingsail
--- a/packages/http/lacewingsail/src/Http/HttpClient.h
+++ b/packages/http/lacewingsail/src/Http/HttpClient.h
@@ -10,23 +10,26 @@
 
 namespace lacewingsail {
 
-/// \brief A client of one endpoint that keeps its connection. Blocks; use each object from one thread.
+/// \brief A client of one endpoint that keeps its connection. Blocks; only interrupt() may be called from another
+/// thread than the one that sends.
 class HttpClient {
 public:
     explicit HttpClient(Endpoint);
     ~HttpClient();
-    HttpClient(HttpClient&&) noexcept;
-    HttpClient& operator=(HttpClient&&) noexcept;
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
 
     /// \brief Sends a request and waits for the whole response.
     /// \param error set if there is none in time; the request may have had its effect all the same. It is never
     /// sent twice: a kept connection that turns out to be closed is an error of its own.
     HttpResponse send(const HttpRequest&, std::chrono::milliseconds timeout, std::error_code& error);
 
+    /// \brief Breaks off the request under way and lets every later one fail at once.
+    void interrupt();
+
 private:
-    struct Connection;
-    Endpoint m_endpoint;
-    std::unique_ptr<Connection> m_connection;
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
 };
 
 } // namespace lacewingsail
--- a/packages/platform/lacewingsail/src/Platform/HttpLogService.cpp
+++ b/packages/platform/lacewingsail/src/Platform/HttpLogService.cpp
@@ -51,6 +51,8 @@
 
 HttpLogService::~HttpLogService() = default;
 
+void HttpLogService::interrupt() { m_client->interrupt(); }
+
 LogOffset HttpLogService::append(std::string_view stream, std::string_view body, std::error_code& error)
 {
     const HttpRequest request { "POST", internal::recordsTarget(stream), {}, std::string(body) };
--- a/packages/platform/lacewingsail/src/Platform/HttpLogService.h
+++ b/packages/platform/lacewingsail/src/Platform/HttpLogService.h
@@ -18,6 +18,7 @@
 
     LogOffset append(std::string_view stream, std::string_view body, std::error_code&) override;
     LogPage read(std::string_view stream, LogOffset from, std::chrono::milliseconds wait, std::error_code&) override;
+    void interrupt() override;
 
 private:
     std::unique_ptr<HttpClient> m_client;
--- a/packages/platform/lacewingsail/src/Platform/LogService.h
+++ b/packages/platform/lacewingsail/src/Platform/LogService.h
@@ -29,7 +29,7 @@
     std::vector<LogRecord> records;
 };
 
-/// \brief The platform's append-only log. Blocks; use each object from one thread.
+/// \brief The platform's append-only log. Blocks; only interrupt() may be called from another thread.
 class LogService {
 public:
     virtual ~LogService() = default;
@@ -40,6 +40,9 @@
 
     /// \brief Reads from \p from on, waiting up to \p wait for a first record.
     virtual LogPage read(std::string_view stream, LogOffset from, std::chrono::milliseconds wait, std::error_code& error) = 0;
+
+    /// \brief Breaks off the call under way and lets every later one fail at once.
+    virtual void interrupt() { }
 };
 
 } // namespace lacewingsail
--- /dev/null
+++ b/tests/HttpClientTest.cpp
@@ -0,0 +1,81 @@
+#include <lacewingsail/Http.h>
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+using namespace lacewingsail;
+
+namespace {
+
+constexpr std::chrono::seconds generousTimeout { 30 };
+
+// A server whose answers to /wait are held back until the fixture ends.
+struct HttpClientFixture {
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool waiting = false;
+    bool released = false;
+    std::error_code error;
+    Endpoint endpoint;
+    std::unique_ptr<HttpServer> server;
+
+    HttpClientFixture()
+    {
+        // The first free port of a range that nothing else of the tests uses.
+        for (std::uint16_t port = 28100; port < 28200; ++port) {
+            endpoint = { "127.0.0.1", port };
+            server = std::make_unique<HttpServer>(
+                endpoint, 2, [this](const HttpRequest& request) { return answer(request); }, error);
+            if (!error)
+                break;
+        }
+        REQUIRE_FALSE(error);
+    }
+
+    ~HttpClientFixture()
+    {
+        const std::lock_guard lock(mutex);
+        released = true;
+        changed.notify_all();
+    }
+
+    HttpResponse answer(const HttpRequest& request)
+    {
+        std::unique_lock lock(mutex);
+        if (request.target == "/wait") {
+            waiting = true;
+            changed.notify_all();
+            changed.wait(lock, [this] { return released; });
+        }
+        return { 200, {}, request.body };
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HttpClientFixture, "send, two requests on a kept connection, each has its own answer")
+{
+    HttpClient client(endpoint);
+    CHECK(client.send({ "POST", "/", {}, "one" }, generousTimeout, error).body == "one");
+    CHECK(client.send({ "POST", "/", {}, "two" }, generousTimeout, error).body == "two");
+    CHECK_FALSE(error);
+}
+
+TEST_CASE_FIXTURE(HttpClientFixture, "interrupt, request under way, fails it and every later one")
+{
+    HttpClient client(endpoint);
+    std::error_code waitError;
+    std::thread sender([&] { client.send({ "GET", "/wait", {}, {} }, generousTimeout, waitError); });
+    {
+        std::unique_lock lock(mutex);
+        changed.wait(lock, [this] { return waiting; });
+    }
+    client.interrupt();
+    sender.join();
+    CHECK(waitError);
+    client.send({ "GET", "/", {}, {} }, generousTimeout, error);
+    CHECK(error);
+}
