--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -159,11 +159,14 @@
     def fault(self, server, **faults):
         self.control(self.backend_control, {"server": server, **faults}, "/faults")
 
+    def settings_of(self, host):
+        return {"host": host.name, "zone": host.zone, "callers": host.callers, "operators": host.operators,
+                "peers": host.peers, "log": self.log, "host_list": self.host_list, "fleet_secret": FLEET_SECRET,
+                **self.extra_settings}
+
     def start_host(self, host):
         path = os.path.join(self.directory, f"{host.name}.json")
-        settings = {"host": host.name, "zone": host.zone, "callers": host.callers, "operators": host.operators,
-                    "peers": host.peers, "log": self.log, "host_list": self.host_list, "fleet_secret": FLEET_SECRET,
-                    **self.extra_settings}
+        settings = self.settings_of(host)
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         host.process = Process(host.name, [self.binary("lacewingd"), "--settings", path], self.directory)
--- a/standins/backend/main.cpp
+++ b/standins/backend/main.cpp
@@ -12,6 +12,9 @@
 ///                   "stall_after":n, "shed":bool, "leaving":bool, "unhealthy":bool, "slots":n, "work_ms":n}
 ///   GET  /effects  every effect: server, request id, idempotency key, path
 ///   GET  /seen     counts of requests for each server, and of requests that carried a key
+///   POST /watch    {"text":"..."}: a request with this text in any field, its target or its body carried a key
+///   GET  /requests every request but probes: server, request id, path, when it was received and when it was run (0 if it
+///                  was not), in seconds of the machine's monotonic clock
 
 #include "../common/Options.h"
 
@@ -66,6 +69,19 @@
         std::string path;
     };
 
+    struct SeenRequest {
+        std::string server;
+        std::string requestId;
+        std::string path;
+        double received = 0;
+        double ran = 0;
+    };
+
+    double monotonicSeconds()
+    {
+        return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    }
+
     struct Server {
         std::string name;
         Faults faults;
@@ -81,6 +97,8 @@
         std::mutex mutex;
         std::map<std::string, Server> servers;
         std::vector<Effect> effects;
+        std::vector<SeenRequest> requests;
+        std::string keyText;
         std::int64_t requestsWithKey = 0;
     };
 
@@ -136,12 +154,28 @@
                 co_await pause(stallCheckInterval);
         }
 
-        void count(const Request& request)
+        static bool carries(const Request& request, const std::string& text)
+        {
+            if (request.target().find(text) != std::string_view::npos || request.body().find(text) != std::string::npos)
+                return true;
+            return std::ranges::any_of(request, [&text](const auto& field) { return field.value().find(text) != std::string_view::npos; });
+        }
+
+        // Returns the place of the request in the list of all.
+        std::size_t count(const Request& request)
         {
             const std::lock_guard lock(m_world.mutex);
             ++m_world.servers[m_server].requests;
-            if (request.count(http::field::authorization) != 0)
+            if (request.count(http::field::authorization) != 0 || (!m_world.keyText.empty() && carries(request, m_world.keyText)))
                 ++m_world.requestsWithKey;
+            m_world.requests.push_back({ m_server, std::string(request["X-Request-Id"]), std::string(request.target()), monotonicSeconds(), 0 });
+            return m_world.requests.size() - 1;
+        }
+
+        void markRun(std::size_t place)
+        {
+            const std::lock_guard lock(m_world.mutex);
+            m_world.requests[place].ran = monotonicSeconds();
         }
 
         // Takes a slot, waiting for one. Returns false if the queue is full or the caller has gone.
@@ -220,16 +254,17 @@
 
         net::awaitable<bool> answer(const Request& request)
         {
-            count(request);
             const Faults active = faults();
             if (request.target() == "/health")
                 co_return co_await sendSmall(request, active.unhealthy ? 503 : 200, std::string("{}"));
+            const std::size_t place = count(request);
             if (active.leaving)
                 co_return co_await sendSmall(request, 503, std::string("{}"), "leaving");
             if (active.shed || !co_await takeSlot())
                 co_return co_await sendSmall(request, 503, std::string("{}"), "shed");
             // The slot is given back however the request ends.
             const std::shared_ptr<void> slot(nullptr, [this](void*) { releaseSlot(); });
+            markRun(place);
             co_return co_await work(request, active);
         }
 
@@ -412,6 +447,23 @@
         return { 200, {}, json::serialize(json::object { { "requests", std::move(requests) }, { "cancelled", std::move(cancelled) }, { "requests_with_key", world.requestsWithKey } }) };
     }
 
+    HttpResponse requests(World& world)
+    {
+        const std::lock_guard lock(world.mutex);
+        json::array list;
+        for (const SeenRequest& request : world.requests)
+            list.emplace_back(json::object { { "server", request.server }, { "request", request.requestId }, { "path", request.path }, { "received", request.received }, { "ran", request.ran } });
+        return { 200, {}, json::serialize(json::object { { "requests", std::move(list) } }) };
+    }
+
+    HttpResponse watch(World& world, const HttpRequest& request)
+    {
+        const json::object settings = json::parse(request.body).as_object();
+        const std::lock_guard lock(world.mutex);
+        world.keyText = std::string(settings.at("text").as_string());
+        return { 200, {}, "{}" };
+    }
+
     HttpResponse control(World& world, const HttpRequest& request)
     {
         try {
@@ -422,6 +474,10 @@
                 return effects(world);
             if (path == "/seen")
                 return seen(world);
+            if (path == "/requests")
+                return requests(world);
+            if (path == "/watch")
+                return watch(world, request);
             return { 404, {}, "no such resource\n" };
         } catch (const std::exception& problem) {
             return { 400, {}, std::string(problem.what()) + '\n' };
