--- a/fuzz/codecs.cpp
+++ b/fuzz/codecs.cpp
@@ -39,7 +39,7 @@
         parseSettings(text, problems);
         break;
     case 2:
-        parseConfigurationChange(text, problems);
+        parseConfigurationRecord(text, problems);
         break;
     case 3:
         parseKeyWithdrawal(text, problems);
--- a/packages/configuration/lacewingsail/ConfigurationSync.h
+++ b/packages/configuration/lacewingsail/ConfigurationSync.h
@@ -14,5 +14,8 @@
 
 #include "src/ConfigurationSync/ConfigurationPeers.h"
 #include "src/ConfigurationSync/ConfigurationState.h"
+#include "src/ConfigurationSync/KeyFreshnessTracker.h"
 #include "src/ConfigurationSync/LogFollower.h"
+#include "src/ConfigurationSync/LogKeeper.h"
 #include "src/ConfigurationSync/Publication.h"
+#include "src/ConfigurationSync/StreamFold.h"
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.cpp
@@ -6,29 +6,14 @@
 
 namespace internal {
 
-    std::optional<ConfigurationRecord> parseRecord(std::string_view body, Journal& journal)
-    {
-        Problems problems;
-        auto change = parseConfigurationChange(body, problems);
-        if (!change) {
-            journal.record(Event("configuration-record-malformed").with("reason", text(problems)));
-            return std::nullopt;
-        }
-        auto configuration = std::make_shared<const Configuration>(std::move(change->configuration));
-        return ConfigurationRecord { change->id, change->author, change->replaces, std::move(configuration), std::string(body) };
-    }
+    constexpr std::size_t mostLatestWithdrawn = 32;
+
+    long long shown(ConfigurationVersion version) { return static_cast<long long>(number(version)); }
+    long long shown(LogOffset offset) { return static_cast<long long>(number(offset)); }
 
-    const char* nameOf(FoldOutcome outcome)
+    void recordMalformed(Journal& journal, LogOffset offset, const Problems& problems)
     {
-        switch (outcome) {
-        case FoldOutcome::Accepted:
-            return "accepted";
-        case FoldOutcome::LostRace:
-            return "lost-race";
-        case FoldOutcome::Repeated:
-            return "repeated";
-        }
-        return "";
+        journal.record(Event("configuration-record-malformed").with("offset", shown(offset)).with("reason", text(problems)));
     }
 
 } // namespace internal
@@ -41,43 +26,120 @@
 
 void ConfigurationState::listen(Listener listener) { m_listener = std::move(listener); }
 
-void ConfigurationState::foldRecord(std::string_view body)
+LogOffset ConfigurationState::readFrom() const
 {
-    auto record = internal::parseRecord(body, m_journal);
-    if (!record)
-        return;
     const std::lock_guard lock(m_mutex);
+    return lacewingsail::readFrom(m_reader);
+}
+
+bool ConfigurationState::foldPage(const LogPage& page)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool gapBefore = m_reader.gapEnd.has_value();
+    beginPage(m_reader, page.earliest);
+    if (!gapBefore && m_reader.gapEnd)
+        m_journal.record(Event("configuration-records-expired").with("read_up_to", internal::shown(m_reader.fold.position)).with("earliest", internal::shown(page.earliest)));
+    bool sawCheckpoint = false;
+    for (const LogRecord& record : page.records) {
+        Problems problems;
+        auto parsed = parseConfigurationRecord(record.body, problems);
+        if (!parsed) {
+            internal::recordMalformed(m_journal, record.offset, problems);
+        } else if (auto* checkpoint = std::get_if<ConfigurationCheckpoint>(&*parsed)) {
+            sawCheckpoint = sawCheckpoint || checkpoint->position >= page.earliest;
+            takeCheckpoint("log", foldOf(std::move(*checkpoint)));
+        } else if (isNext(m_reader, record.offset)) {
+            foldRecord(record.offset, std::move(std::get<ConfigurationChange>(*parsed)));
+        }
+    }
+    endPage(m_reader, page.next);
+    return sawCheckpoint;
+}
+
+void ConfigurationState::foldRecord(LogOffset offset, ConfigurationChange change)
+{
     Event event("configuration-record");
-    event.with("id", record->id).with("author", record->author).with("replaces", static_cast<long long>(number(record->replaces)));
-    const FoldOutcome outcome = apply(m_fold, std::move(*record));
-    m_journal.record(event.with("outcome", internal::nameOf(outcome)).with("version", static_cast<long long>(number(m_fold.version))));
-    if (outcome == FoldOutcome::Accepted)
+    event.with("offset", internal::shown(offset)).with("id", change.id).with("author", change.author).with("replaces", internal::shown(change.replaces));
+    Problems problems;
+    const ChangeOutcome outcome = foldChange(m_reader.fold, std::move(change), problems);
+    m_reader.fold.position = next(offset);
+    event.with("outcome", nameOf(outcome)).with("version", internal::shown(m_reader.fold.version));
+    if (!problems.empty())
+        event.with("reason", text(problems));
+    m_journal.record(event);
+    if (outcome == ChangeOutcome::Accepted)
         notify();
 }
 
-void ConfigurationState::adopt(ConfigurationVersion version, std::string_view body)
+bool ConfigurationState::adopt(std::string_view checkpoint)
 {
-    auto record = internal::parseRecord(body, m_journal);
-    if (!record)
-        return;
+    Problems problems;
+    auto parsed = parseConfigurationCheckpoint(checkpoint, problems);
+    if (!parsed) {
+        m_journal.record(Event("peer-checkpoint-malformed").with("reason", text(problems)));
+        return false;
+    }
     const std::lock_guard lock(m_mutex);
-    if (version <= m_fold.version)
-        return;
-    m_fold = { version, std::move(*record) };
-    m_journal.record(Event("configuration-adopted").with("version", static_cast<long long>(number(version))));
+    return takeCheckpoint("peer", foldOf(std::move(*parsed)));
+}
+
+bool ConfigurationState::takeCheckpoint(std::string_view source, ConfigurationFold fold)
+{
+    const ConfigurationVersion before = m_reader.fold.version;
+    if (!takeFold(m_reader, std::move(fold)))
+        return false;
+    if (m_reader.fold.version == before)
+        return true;
+    m_journal.record(Event("configuration-adopted").with("source", source).with("version", internal::shown(m_reader.fold.version)).with("position", internal::shown(m_reader.fold.position)));
     notify();
+    return true;
 }
 
 bool ConfigurationState::withdraw(const std::vector<KeyId>& keys)
 {
     const std::lock_guard lock(m_mutex);
-    auto grown = std::make_shared<WithdrawnKeys>(*m_withdrawn);
+    return addWithdrawn(keys);
+}
+
+void ConfigurationState::withdrawLogged(const std::vector<KeyId>& keys)
+{
+    const std::lock_guard lock(m_mutex);
+    addWithdrawn(keys);
+    m_logged.insert(keys.begin(), keys.end());
+}
+
+std::vector<KeyId> ConfigurationState::withdrawnButNotLogged() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<KeyId> missing;
+    if (m_logged.size() == m_withdrawn->size())
+        return missing;
+    for (const KeyId& key : *m_withdrawn) {
+        if (!m_logged.contains(key))
+            missing.push_back(key);
+    }
+    return missing;
+}
+
+bool ConfigurationState::addWithdrawn(const std::vector<KeyId>& keys)
+{
+    std::vector<KeyId> added;
     for (const KeyId& key : keys) {
-        if (grown->insert(key).second)
-            m_journal.record(Event("key-withdrawn").with("key", key));
+        if (!m_withdrawn->contains(key))
+            added.push_back(key);
     }
-    if (grown->size() == m_withdrawn->size())
+    if (added.empty())
         return false;
+    auto grown = std::make_shared<WithdrawnKeys>(*m_withdrawn);
+    for (const KeyId& key : added) {
+        if (!grown->insert(key).second)
+            continue;
+        m_withdrawnDigest ^= stableHash(key.value());
+        m_latestWithdrawn.insert(m_latestWithdrawn.begin(), key);
+        m_journal.record(Event("key-withdrawn").with("key", key));
+    }
+    if (m_latestWithdrawn.size() > internal::mostLatestWithdrawn)
+        m_latestWithdrawn.resize(internal::mostLatestWithdrawn);
     m_withdrawn = std::move(grown);
     notify();
     return true;
@@ -86,13 +148,19 @@
 ConfigurationVersion ConfigurationState::version() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_fold.version;
+    return m_reader.fold.version;
 }
 
-std::string ConfigurationState::currentRecord() const
+ConfigurationFold ConfigurationState::fold() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_fold.current.text;
+    return m_reader.fold;
+}
+
+bool ConfigurationState::behindGap() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_reader.gapEnd.has_value();
 }
 
 std::shared_ptr<const WithdrawnKeys> ConfigurationState::withdrawn() const
@@ -101,10 +169,16 @@
     return m_withdrawn;
 }
 
+WithdrawalSummary ConfigurationState::withdrawalSummary() const
+{
+    const std::lock_guard lock(m_mutex);
+    return { m_withdrawn->size(), m_withdrawnDigest, m_latestWithdrawn };
+}
+
 void ConfigurationState::notify()
 {
     if (m_listener)
-        m_listener(m_fold.current, m_fold.version, m_withdrawn);
+        m_listener(m_reader.fold.current, m_reader.fold.version, m_withdrawn);
 }
 
 } // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -47,22 +47,30 @@
     Journal journal { internal::journalCapacity };
     std::atomic<bool> draining { false };
     SnapshotCell snapshot;
-    SnapshotPublisher publisher { snapshot };
+    const std::shared_ptr<KeyFreshness> keyFreshness = std::make_shared<KeyFreshness>();
+    SnapshotPublisher publisher { snapshot, keyFreshness };
     ConfigurationState configuration { journal };
+    KeyFreshnessTracker freshnessTracker { *keyFreshness, settings.keyStalenessBound, settings.id };
+    CheckpointAge checkpointAge;
+    std::atomic<bool> configurationCaughtUp { false };
+    std::atomic<MonotonicTime> configurationHeardAt { MonotonicTime {} };
     internal::CountedEvidence evidence { metrics };
     EvenSplit admission { settings.limitSlots, clock };
     PeerChannels channels;
-    OperatorApi operatorApi { { settings, snapshot, configuration, metrics, journal, draining } };
     std::unique_ptr<FleetMembership> membership;
+    std::unique_ptr<ConfigurationPeers> configurationPeers;
     std::unique_ptr<LogFollower> configurationFollower;
     std::unique_ptr<LogFollower> withdrawalFollower;
-    std::unique_ptr<ConfigurationPeers> configurationPeers;
+    std::unique_ptr<LogKeeper> logKeeper;
+    std::unique_ptr<OperatorApi> operatorApi;
     std::unique_ptr<PeerServer> peerServer;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<ProxyServer> proxy;
 
     void startFollowers();
     void startListeners(std::error_code&);
+    LogFollowerCallbacks configurationCallbacks();
+    LogFollowerCallbacks withdrawalCallbacks();
     void takeWithdrawal(const LogRecord&);
 };
 
@@ -70,22 +78,49 @@
 {
     Problems problems;
     if (const auto withdrawal = parseKeyWithdrawal(record.body, problems))
-        configuration.withdraw({ withdrawal->key });
+        configuration.withdrawLogged(withdrawal->keys);
     else
         journal.record(Event("withdrawal-record-malformed").with("reason", text(problems)));
 }
 
+LogFollowerCallbacks EntryHost::Implementation::configurationCallbacks()
+{
+    LogFollowerCallbacks callbacks;
+    callbacks.position = [this](LogOffset) { return configuration.readFrom(); };
+    callbacks.page = [this](const LogPage& page) {
+        configurationHeardAt = clock.now();
+        // How old the checkpoints are that were there before this host is not known; only new ones count.
+        if (configuration.foldPage(page) && configurationCaughtUp)
+            checkpointAge.seen(clock.now());
+    };
+    callbacks.caughtUp = [this](MonotonicTime) { configurationCaughtUp = true; };
+    return callbacks;
+}
+
+LogFollowerCallbacks EntryHost::Implementation::withdrawalCallbacks()
+{
+    LogFollowerCallbacks callbacks;
+    callbacks.page = [this](const LogPage& page) {
+        for (const LogRecord& record : page.records)
+            takeWithdrawal(record);
+    };
+    callbacks.caughtUp = [this](MonotonicTime asOf) { freshnessTracker.heardLog(asOf); };
+    return callbacks;
+}
+
 void EntryHost::Implementation::startFollowers()
 {
+    membership = std::make_unique<FleetMembership>(settings.id, std::make_unique<HttpHostList>(settings.hostList, settings.id), clock);
+    configurationPeers = std::make_unique<ConfigurationPeers>(ConfigurationPeersParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, channels, metrics, [this] { return configurationHeardAt.load(); } });
     configuration.listen([this](const ConfigurationRecord& record, ConfigurationVersion version, std::shared_ptr<const WithdrawnKeys> withdrawn) {
         publisher.update(record, version, std::move(withdrawn));
+        configurationPeers->spreadNews();
     });
-    membership = std::make_unique<FleetMembership>(settings.id, std::make_unique<HttpHostList>(settings.hostList, settings.id));
-    configurationFollower = std::make_unique<LogFollower>(std::make_unique<HttpLogService>(settings.log), configurationStream, clock,
-        [this](const LogRecord& record) { configuration.foldRecord(record.body); });
-    withdrawalFollower = std::make_unique<LogFollower>(std::make_unique<HttpLogService>(settings.log), withdrawalStream, clock,
-        [this](const LogRecord& record) { takeWithdrawal(record); });
-    configurationPeers = std::make_unique<ConfigurationPeers>(settings, configuration, *membership, channels);
+    configurationFollower = std::make_unique<LogFollower>(std::make_unique<HttpLogService>(settings.log), configurationStream, clock, configurationCallbacks());
+    withdrawalFollower = std::make_unique<LogFollower>(std::make_unique<HttpLogService>(settings.log), withdrawalStream, clock, withdrawalCallbacks());
+    configurationPeers->start();
+    logKeeper = std::make_unique<LogKeeper>(LogKeeperParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, journal }, std::make_unique<HttpLogService>(settings.log));
+    operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining });
 }
 
 void EntryHost::Implementation::startListeners(std::error_code& error)
@@ -94,7 +129,7 @@
     if (error)
         return;
     operatorServer = std::make_unique<HttpServer>(
-        settings.operators, internal::operatorThreads, [this](const HttpRequest& request) { return operatorApi.answer(request); }, error);
+        settings.operators, internal::operatorThreads, [this](const HttpRequest& request) { return operatorApi->answer(request); }, error);
     if (error)
         return;
     proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal }, error);
@@ -115,6 +150,7 @@
 {
     log(Event("host-draining").with("host", m_implementation->settings.id));
     m_implementation->draining = true;
+    m_implementation->configurationPeers->announceLeaving();
     m_implementation->proxy->drain();
 }
 
--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -4,6 +4,10 @@
 
 #include <boost/json.hpp>
 
+#include <charconv>
+#include <csignal>
+#include <unistd.h>
+
 namespace lacewingsail {
 
 namespace json = boost::json;
@@ -56,6 +60,14 @@
         return services;
     }
 
+    json::array linksOf(const FleetMembership& membership)
+    {
+        json::array links;
+        for (const LinkView& link : membership.links())
+            links.emplace_back(json::object { { "host", link.host.value() }, { "heard", nameOf(link.direction) }, { "leaving", link.leaving } });
+        return links;
+    }
+
 } // namespace internal
 
 OperatorApi::OperatorApi(const OperatorView& view)
@@ -69,7 +81,8 @@
     if (path == "/healthz")
         return internal::plain(200, "ok\n");
     if (path == "/readyz") {
-        const bool ready = !m_view.draining && m_view.snapshot.current()->tables && !m_view.snapshot.current()->keysStale;
+        const auto snapshot = m_view.snapshot.current();
+        const bool ready = !m_view.draining && snapshot->tables && !keysAreStale(*snapshot, m_view.clock.now());
         return internal::plain(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
     if (path == "/metrics")
@@ -88,21 +101,42 @@
         return journal(request);
     if (request.method == "POST" && path == "/withdrawals")
         return withdraw(request);
+    if (request.method == "GET" && path == "/withdrawals")
+        return withdrawals();
+    if (request.method == "GET" && path == "/configuration")
+        return configuration();
+    if (request.method == "POST" && path == "/drain")
+        return drain();
     return internal::failure(ResultCode::NoRoute);
 }
 
 HttpResponse OperatorApi::status() const
 {
     const auto snapshot = m_view.snapshot.current();
-    return internal::asJson(200, json::object { { "host", m_view.settings.id.value() }, { "zone", m_view.settings.zone.value() }, { "configuration_version", number(m_view.configuration.version()) }, { "withdrawn_keys", m_view.configuration.withdrawn()->size() }, { "keys_stale", snapshot->keysStale }, { "draining", m_view.draining.load() }, { "services", internal::servicesOf(*snapshot) } });
+    const ConfigurationFold fold = m_view.configuration.fold();
+    json::object status { { "host", m_view.settings.id.value() }, { "zone", m_view.settings.zone.value() } };
+    status["configuration_version"] = number(fold.version);
+    status["configuration_author"] = fold.current.author;
+    status["log_position"] = number(fold.position);
+    status["log_records_expired"] = m_view.configuration.behindGap();
+    status["withdrawn_keys"] = m_view.configuration.withdrawn()->size();
+    status["withdrawn_keys_not_logged"] = m_view.configuration.withdrawnButNotLogged().size();
+    status["keys_stale"] = keysAreStale(*snapshot, m_view.clock.now());
+    status["draining"] = m_view.draining.load();
+    status["links"] = internal::linksOf(m_view.membership);
+    status["services"] = internal::servicesOf(*snapshot);
+    return internal::asJson(200, status);
 }
 
 HttpResponse OperatorApi::journal(const HttpRequest& request) const
 {
+    const std::string after = queryValue(request.target, "after", "0");
+    std::uint64_t position = 0;
+    std::from_chars(after.data(), after.data() + after.size(), position);
     json::array lines;
-    for (const std::string& line : m_view.journal.linesWith(queryValue(request.target, "contains", "")))
+    for (const std::string& line : m_view.journal.linesWith(queryValue(request.target, "contains", ""), position))
         lines.emplace_back(line);
-    return internal::asJson(200, json::object { { "host", m_view.settings.id.value() }, { "events", std::move(lines) } });
+    return internal::asJson(200, json::object { { "host", m_view.settings.id.value() }, { "next", position }, { "events", std::move(lines) } });
 }
 
 HttpResponse OperatorApi::withdraw(const HttpRequest& request) const
@@ -111,8 +145,32 @@
     const auto withdrawal = parseKeyWithdrawal(request.body, problems);
     if (!withdrawal)
         return internal::failure(ResultCode::InvalidArgument);
-    m_view.configuration.withdraw({ withdrawal->key });
-    return internal::asJson(200, json::object { { "withdrawn", withdrawal->key.value() } });
+    m_view.configuration.withdraw(withdrawal->keys);
+    return internal::asJson(200, json::object { { "withdrawn", withdrawal->keys.size() } });
+}
+
+HttpResponse OperatorApi::withdrawals() const
+{
+    json::array keys;
+    for (const KeyId& key : *m_view.configuration.withdrawn())
+        keys.emplace_back(key.value());
+    return internal::asJson(200, json::object { { "keys", std::move(keys) } });
+}
+
+HttpResponse OperatorApi::configuration() const
+{
+    const ConfigurationFold fold = m_view.configuration.fold();
+    if (!fold.current.configuration)
+        return internal::failure(ResultCode::NoConfiguration);
+    return { 200, { { "Content-Type", "application/json" } }, formatCheckpointOf(fold) };
+}
+
+HttpResponse OperatorApi::drain() const
+{
+    m_view.journal.record(Event("drain-requested").with("host", m_view.settings.id));
+    // The same way in as for the platform, so that there is one planned stop only.
+    kill(getpid(), SIGTERM);
+    return internal::asJson(200, json::object { { "draining", true } });
 }
 
 bool OperatorApi::isOperator(const HttpRequest& request) const
--- a/packages/host/lacewingsail/src/Host/OperatorApi.h
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.h
@@ -2,6 +2,7 @@
 
 #include <lacewingsail/ConfigurationSync.h>
 #include <lacewingsail/Http.h>
+#include <lacewingsail/Membership.h>
 #include <lacewingsail/Observe.h>
 #include <lacewingsail/Proxy.h>
 #include <lacewingsail/World.h>
@@ -13,8 +14,10 @@
 /// \brief What an OperatorApi shows and acts on. All must outlive it.
 struct OperatorView {
     const HostSettings& settings;
+    const Clock& clock;
     const SnapshotCell& snapshot;
     ConfigurationState& configuration;
+    const FleetMembership& membership;
     const Metrics& metrics;
     Journal& journal;
     const std::atomic<bool>& draining;
@@ -32,6 +35,9 @@
     HttpResponse status() const;
     HttpResponse journal(const HttpRequest&) const;
     HttpResponse withdraw(const HttpRequest&) const;
+    HttpResponse withdrawals() const;
+    HttpResponse configuration() const;
+    HttpResponse drain() const;
     bool isOperator(const HttpRequest&) const;
 
     const OperatorView m_view;
--- a/packages/host/lacewingsail/src/Host/SnapshotPublisher.cpp
+++ b/packages/host/lacewingsail/src/Host/SnapshotPublisher.cpp
@@ -2,9 +2,12 @@
 
 namespace lacewingsail {
 
-SnapshotPublisher::SnapshotPublisher(SnapshotCell& cell)
+SnapshotPublisher::SnapshotPublisher(SnapshotCell& cell, std::shared_ptr<const KeyFreshness> keyFreshness)
     : m_cell(cell)
 {
+    auto first = std::make_shared<FleetSnapshot>(*m_cell.current());
+    first->keyFreshness = std::move(keyFreshness);
+    m_cell.publish(std::move(first));
 }
 
 void SnapshotPublisher::update(const ConfigurationRecord& record, ConfigurationVersion version, std::shared_ptr<const WithdrawnKeys> withdrawn)
@@ -22,15 +25,4 @@
     m_cell.publish(std::move(fresh));
 }
 
-void SnapshotPublisher::setKeysStale(bool stale)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto before = m_cell.current();
-    if (before->keysStale == stale)
-        return;
-    auto fresh = std::make_shared<FleetSnapshot>(*before);
-    fresh->keysStale = stale;
-    m_cell.publish(std::move(fresh));
-}
-
 } // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/SnapshotPublisher.h
+++ b/packages/host/lacewingsail/src/Host/SnapshotPublisher.h
@@ -12,14 +12,12 @@
 /// here, so that one snapshot never mixes parts of two versions.
 class SnapshotPublisher {
 public:
-    explicit SnapshotPublisher(SnapshotCell&);
+    /// \param keyFreshness until when the withdrawn keys may be trusted; every snapshot carries it.
+    SnapshotPublisher(SnapshotCell&, std::shared_ptr<const KeyFreshness> keyFreshness);
 
     /// \brief Takes over a configuration and the withdrawn keys.
     void update(const ConfigurationRecord&, ConfigurationVersion, std::shared_ptr<const WithdrawnKeys>);
 
-    /// \brief Sets whether the host can learn of withdrawals.
-    void setKeysStale(bool stale);
-
 private:
     SnapshotCell& m_cell;
     std::mutex m_mutex;
--- a/packages/membership/lacewingsail/src/Membership/FleetMembership.cpp
+++ b/packages/membership/lacewingsail/src/Membership/FleetMembership.cpp
@@ -10,9 +10,10 @@
 
 } // namespace internal
 
-FleetMembership::FleetMembership(HostId self, std::unique_ptr<HostList> list)
+FleetMembership::FleetMembership(HostId self, std::unique_ptr<HostList> list, const Clock& clock)
     : m_self(std::move(self))
     , m_list(std::move(list))
+    , m_clock(clock)
     , m_thread([this] { follow(); })
 {
 }
@@ -30,7 +31,12 @@
 std::vector<Host> FleetMembership::hosts() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_hosts;
+    std::vector<Host> result = m_hosts;
+    for (Host& host : result) {
+        const auto link = m_links.find(host.id);
+        host.leaving = host.leaving || (link != m_links.end() && link->second.leaving);
+    }
+    return result;
 }
 
 std::vector<Host> FleetMembership::peers() const
@@ -40,6 +46,37 @@
     return result;
 }
 
+void FleetMembership::heard(const HostId& from, const std::vector<HostId>& unheardByIt, bool leaving)
+{
+    const std::lock_guard lock(m_mutex);
+    noteHeard(m_links, from, m_self, unheardByIt, leaving, m_clock.now());
+}
+
+std::vector<LinkView> FleetMembership::links() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<LinkView> result;
+    for (const auto& [host, link] : m_links)
+        result.push_back({ host, directionOf(link), link.leaving });
+    return result;
+}
+
+std::vector<HostId> FleetMembership::unheard(std::size_t most) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<HostId> result;
+    for (const auto& [host, link] : m_links) {
+        if (result.size() < most && directionOf(link) == LinkDirection::NotHeard)
+            result.push_back(host);
+    }
+    return result;
+}
+
+LinkDirection FleetMembership::directionOf(const Link& link) const
+{
+    return lacewingsail::directionOf(link, m_clock.now(), silenceBound(m_links.size(), exchangeInterval));
+}
+
 void FleetMembership::follow()
 {
     std::unique_lock lock(m_mutex);
@@ -50,6 +87,7 @@
         lock.lock();
         if (!error && hosts != m_hosts) {
             m_hosts = std::move(hosts);
+            updateListed(m_links, m_hosts, m_self, m_clock.now());
             log(Event("membership-changed").with("hosts", static_cast<long long>(m_hosts.size())));
         }
         m_stopRequested.wait_for(lock, internal::hostListInterval, [this] { return m_stopping; });
--- a/packages/membership/lacewingsail/src/Membership/ForwardDeclarations.h
+++ b/packages/membership/lacewingsail/src/Membership/ForwardDeclarations.h
@@ -3,5 +3,6 @@
 namespace lacewingsail {
 
 class FleetMembership;
+struct LinkView;
 
 } // namespace lacewingsail
--- a/packages/observe/lacewingsail/src/Observe/Journal.cpp
+++ b/packages/observe/lacewingsail/src/Observe/Journal.cpp
@@ -2,6 +2,7 @@
 
 #include <oneapi/tbb/concurrent_queue.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <condition_variable>
@@ -34,6 +35,7 @@
             if (kept.size() == capacity)
                 kept.pop_front();
             kept.push_back(std::move(line));
+            ++recorded;
         }
     }
 
@@ -55,6 +57,7 @@
     std::condition_variable stopRequested;
     bool stopping = false;
     std::deque<std::string> kept;
+    std::uint64_t recorded = 0;
     std::thread writer;
 };
 
@@ -86,14 +89,24 @@
 }
 
 std::vector<std::string> Journal::linesWith(std::string_view part) const
+{
+    std::uint64_t position = 0;
+    return linesWith(part, position);
+}
+
+std::vector<std::string> Journal::linesWith(std::string_view part, std::uint64_t& position) const
 {
     const std::lock_guard lock(m_implementation->mutex);
     m_implementation->takePending();
+    const auto& kept = m_implementation->kept;
+    const std::uint64_t first = m_implementation->recorded - kept.size();
     std::vector<std::string> result;
-    for (const std::string& line : m_implementation->kept) {
+    for (std::uint64_t index = std::max(first, position); index < m_implementation->recorded; ++index) {
+        const std::string& line = kept[index - first];
         if (line.find(part) != std::string::npos)
             result.push_back(line);
     }
+    position = m_implementation->recorded;
     return result;
 }
 
--- a/packages/observe/lacewingsail/src/Observe/Journal.h
+++ b/packages/observe/lacewingsail/src/Observe/Journal.h
@@ -30,6 +30,10 @@
     /// \returns the kept lines that contain \p part, oldest first. Copies them; not for request threads.
     std::vector<std::string> linesWith(std::string_view part) const;
 
+    /// \brief The same, of the lines from \p position on; every line has the next position, the first one 0.
+    /// \param position set to the position after the last line, for the next call.
+    std::vector<std::string> linesWith(std::string_view part, std::uint64_t& position) const;
+
     /// \returns how many events were dropped so far.
     std::uint64_t dropped() const;
 
--- a/packages/peers/lacewingsail/src/Peers/PeerChannels.cpp
+++ b/packages/peers/lacewingsail/src/Peers/PeerChannels.cpp
@@ -1,5 +1,7 @@
 #include <lacewingsail/PeerCalls.h>
 
+#include "MessageSize.h"
+
 namespace lacewingsail {
 
 namespace internal {
@@ -20,6 +22,7 @@
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, internal::firstReconnectMilliseconds);
         arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, internal::firstReconnectMilliseconds);
         arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        arguments.SetMaxReceiveMessageSize(internal::largestMessage);
         channel = grpc::CreateCustomChannel(text(endpoint), grpc::InsecureChannelCredentials(), arguments);
     }
     return channel;
--- a/packages/peers/lacewingsail/src/Peers/PeerServer.cpp
+++ b/packages/peers/lacewingsail/src/Peers/PeerServer.cpp
@@ -1,5 +1,7 @@
 #include <lacewingsail/PeerCalls.h>
 
+#include "MessageSize.h"
+
 #include <chrono>
 
 namespace lacewingsail {
@@ -22,6 +24,7 @@
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, internal::mostPeerThreads);
+    builder.SetMaxReceiveMessageSize(internal::largestMessage);
     int boundPort = 0;
     builder.AddListeningPort(text(endpoint), grpc::InsecureServerCredentials(), &boundPort);
     for (grpc::Service* service : services)
--- a/packages/platform/lacewingsail/src/Platform/LogService.h
+++ b/packages/platform/lacewingsail/src/Platform/LogService.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include <lacewingsail/World.h>
+
 #include <chrono>
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -9,12 +10,6 @@
 
 namespace lacewingsail {
 
-/// \brief Position of a record in its stream.
-enum class LogOffset : std::uint64_t {};
-
-/// \returns the offset after \p offset.
-constexpr LogOffset next(LogOffset offset) { return LogOffset { static_cast<std::uint64_t>(offset) + 1 }; }
-
 struct LogRecord {
     LogOffset offset {};
     std::string body;
--- a/packages/policy/lacewingsail/src/Policy/ConfigurationFold.cpp
+++ b/packages/policy/lacewingsail/src/Policy/ConfigurationFold.cpp
@@ -1,19 +1,68 @@
 #include <lacewingsail/Policy.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace lacewingsail {
 
+FoldOutcome judge(const ConfigurationFold& fold, const std::string& id, ConfigurationVersion replaces)
+{
+    if (!id.empty() && id == fold.current.id)
+        return FoldOutcome::Repeated;
+    return replaces == fold.version ? FoldOutcome::Accepted : FoldOutcome::LostRace;
+}
+
 FoldOutcome apply(ConfigurationFold& fold, ConfigurationRecord record)
 {
     assert(record.configuration);
-    if (!record.id.empty() && record.id == fold.current.id)
-        return FoldOutcome::Repeated;
-    if (record.replaces != fold.version)
-        return FoldOutcome::LostRace;
+    const FoldOutcome outcome = judge(fold, record.id, record.replaces);
+    if (outcome != FoldOutcome::Accepted)
+        return outcome;
     fold.version = ConfigurationVersion { number(fold.version) + 1 };
     fold.current = std::move(record);
-    return FoldOutcome::Accepted;
+    return outcome;
+}
+
+bool advance(ConfigurationFold& fold, ConfigurationFold later)
+{
+    // A later position with a lower version is no fold of the same stream; believing it would revert a change.
+    if (later.position <= fold.position || later.version < fold.version)
+        return false;
+    fold = std::move(later);
+    return true;
+}
+
+LogOffset readFrom(const ConfigurationReader& reader) { return reader.gapEnd ? reader.searched : reader.fold.position; }
+
+void beginPage(ConfigurationReader& reader, LogOffset earliest)
+{
+    if (earliest <= reader.fold.position)
+        return;
+    // A checkpoint closes the gap only if no record after its position is lost, so the gap grows with what expires.
+    reader.gapEnd = earliest;
+    reader.searched = std::max(reader.searched, earliest);
+}
+
+bool isNext(const ConfigurationReader& reader, LogOffset offset) { return !reader.gapEnd && offset >= reader.fold.position; }
+
+bool takeFold(ConfigurationReader& reader, ConfigurationFold fold)
+{
+    if (!advance(reader.fold, std::move(fold)))
+        return false;
+    // A fold from before the gap is a true one too, but what comes after it can no longer be read.
+    if (reader.gapEnd && reader.fold.position >= *reader.gapEnd) {
+        reader.gapEnd.reset();
+        reader.searched = {};
+    }
+    return true;
+}
+
+void endPage(ConfigurationReader& reader, LogOffset next)
+{
+    if (reader.gapEnd)
+        reader.searched = std::max(reader.searched, next);
+    else
+        reader.fold.position = std::max(reader.fold.position, next);
 }
 
 } // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/ExchangeSchedule.cpp
@@ -0,0 +1,62 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cassert>
+#include <map>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::size_t mostPartners = 32;
+
+    // Takes from each zone in turn, so that the hosts of one round's first part stand in different zones.
+    std::vector<HostId> drawOrder(const std::vector<Host>& peers, std::minstd_rand& random)
+    {
+        std::map<ZoneId, std::vector<HostId>> byZone;
+        for (const Host& peer : peers)
+            byZone[peer.zone].push_back(peer.id);
+        std::size_t largest = 0;
+        for (auto& [zone, hosts] : byZone) {
+            std::ranges::shuffle(hosts, random);
+            largest = std::max(largest, hosts.size());
+        }
+        std::vector<HostId> order;
+        for (std::size_t turn = 0; turn < largest; ++turn) {
+            for (const auto& [zone, hosts] : byZone) {
+                if (turn < hosts.size())
+                    order.push_back(hosts[turn]);
+            }
+        }
+        return order;
+    }
+
+} // namespace internal
+
+std::vector<Host> nextPartners(ExchangeSchedule& schedule, const std::vector<Host>& peers, std::size_t count)
+{
+    std::vector<Host> partners;
+    for (std::size_t step = 0; step < peers.size() + schedule.order.size() && partners.size() < std::min(count, peers.size()); ++step) {
+        if (schedule.next >= schedule.order.size()) {
+            schedule.order = internal::drawOrder(peers, schedule.random);
+            schedule.next = 0;
+        }
+        const HostId& id = schedule.order[schedule.next++];
+        const auto peer = std::ranges::find(peers, id, &Host::id);
+        if (peer != peers.end() && std::ranges::find(partners, id, &Host::id) == partners.end())
+            partners.push_back(*peer);
+    }
+    return partners;
+}
+
+std::size_t partnersFor(std::size_t listedHosts, bool logHeard, std::chrono::milliseconds bound, std::chrono::milliseconds interval)
+{
+    assert(interval.count() > 0);
+    if (logHeard)
+        return 1;
+    const auto rounds = std::max<std::size_t>(1, static_cast<std::size_t>(bound / 2 / interval));
+    const std::size_t half = (listedHosts + 1) / 2;
+    return std::clamp<std::size_t>((half + rounds - 1) / rounds, 1, internal::mostPartners);
+}
+
+} // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/FleetSnapshot.cpp
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.cpp
@@ -23,6 +23,8 @@
 
 } // namespace internal
 
+bool keysAreStale(const FleetSnapshot& snapshot, MonotonicTime now) { return !snapshot.keyFreshness || snapshot.keyFreshness->stale(now); }
+
 std::shared_ptr<const ConfigurationTables> makeConfigurationTables(ConfigurationVersion version, std::shared_ptr<const Configuration> configuration)
 {
     assert(configuration);
--- a/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
@@ -50,13 +50,16 @@
     /// Null until a first configuration is in force.
     std::shared_ptr<const ConfigurationTables> tables;
     std::shared_ptr<const WithdrawnKeys> withdrawn;
-    /// Set while the host cannot learn of withdrawals.
-    bool keysStale = false;
+    /// Whether the withdrawn keys can still be trusted; null counts as "no".
+    std::shared_ptr<const KeyFreshness> keyFreshness;
     /// Aligned with the configuration's services and their backend servers.
     std::vector<std::vector<Standing>> standings;
     std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> loads;
 };
 
+/// \returns whether the host may have missed withdrawals at \p now.
+bool keysAreStale(const FleetSnapshot&, MonotonicTime now);
+
 /// \brief Indexes a configuration. Allocates; the cost is linear in its size.
 std::shared_ptr<const ConfigurationTables> makeConfigurationTables(ConfigurationVersion, std::shared_ptr<const Configuration>);
 
--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -4,19 +4,25 @@
 
 class Admission;
 class EvidenceSink;
+class KeyFreshness;
 class NotRun;
 class SentAttempt;
 class UnsentAttempt;
 enum class FoldOutcome;
+enum class LinkDirection;
 struct AttemptEvidence;
 struct BackendServerLoad;
 struct Candidate;
 struct ConfigurationFold;
+struct ConfigurationReader;
 struct ConfigurationRecord;
 struct ConfigurationTables;
+struct ExchangeSchedule;
 struct FleetSnapshot;
 struct KeyTable;
+struct Link;
 struct RouteTable;
+struct TaskRank;
 struct TokenBucket;
 
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/Keys.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Keys.cpp
@@ -1,7 +1,39 @@
 #include <lacewingsail/Policy.h>
 
+#include <algorithm>
+
 namespace lacewingsail {
 
+void KeyFreshness::trustUntil(MonotonicTime deadline)
+{
+    MonotonicTime before = m_trustedUntil.load(std::memory_order_relaxed);
+    while (before < deadline && !m_trustedUntil.compare_exchange_weak(before, deadline, std::memory_order_release))
+        ;
+}
+
+MonotonicTime withdrawalsKnownAsOf(MonotonicTime now, MonotonicTime logHeard, std::vector<MonotonicTime> peersHeard, std::size_t listedHosts)
+{
+    if (listedHosts == 0)
+        return logHeard;
+    // The host itself counts. A withdrawal told to more than half of the hosts is then known to one of this half.
+    const std::size_t needed = (listedHosts + 1) / 2 - 1;
+    if (needed == 0)
+        return now;
+    if (peersHeard.size() < needed)
+        return logHeard;
+    const auto last = peersHeard.begin() + static_cast<std::ptrdiff_t>(needed - 1);
+    std::ranges::nth_element(peersHeard, last, std::greater {});
+    return std::max(logHeard, *last);
+}
+
+std::uint64_t digestOf(const WithdrawnKeys& keys)
+{
+    std::uint64_t digest = 0;
+    for (const KeyId& key : keys)
+        digest ^= stableHash(key.value());
+    return digest;
+}
+
 KeyTable makeKeyTable(const std::vector<ClientAccount>& accounts)
 {
     KeyTable table;
--- a/packages/policy/lacewingsail/src/Policy/Keys.h
+++ b/packages/policy/lacewingsail/src/Policy/Keys.h
@@ -4,10 +4,13 @@
 
 #include <lacewingsail/World.h>
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string_view>
+#include <vector>
 
 namespace lacewingsail {
 
@@ -33,6 +36,28 @@
     AccountIndex account {};
 };
 
+/// \brief Until when the set of withdrawn keys may be trusted. Moved on by what is heard, and read by every request, so
+/// that a host which was paused refuses before it has heard anything again.
+class KeyFreshness {
+public:
+    /// \brief Moves the deadline on; an earlier one than the current is ignored.
+    void trustUntil(MonotonicTime deadline);
+    bool stale(MonotonicTime now) const { return now >= m_trustedUntil.load(std::memory_order_acquire); }
+
+private:
+    std::atomic<MonotonicTime> m_trustedUntil { MonotonicTime {} };
+};
+
+/// \returns the latest instant as of which a host knows every withdrawal that the log, or more than half of the listed
+/// hosts, knew by then.
+/// \param logHeard as of when the host had read the whole stream of withdrawals.
+/// \param peersHeard as of when it knew all that each other listed host knew.
+/// \param listedHosts number of listed hosts, the own one included; 0 if the list is not known.
+MonotonicTime withdrawalsKnownAsOf(MonotonicTime now, MonotonicTime logHeard, std::vector<MonotonicTime> peersHeard, std::size_t listedHosts);
+
+/// \returns a number that is equal for equal sets, and for different ones almost never; it needs no order.
+std::uint64_t digestOf(const WithdrawnKeys&);
+
 /// \brief Indexes the keys of \p accounts. Allocates.
 KeyTable makeKeyTable(const std::vector<ClientAccount>& accounts);
 
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -31,7 +31,7 @@
     {
         if (request.route->access == Access::Open)
             return ResultCode::Ok;
-        if (request.snapshot->keysStale)
+        if (keysAreStale(*request.snapshot, request.thread.services.clock.now()))
             return ResultCode::KeysStale;
         const std::string_view secret = presentedSecret(request.message);
         const std::string digest = secret.empty() ? std::string() : sha256(secret);
--- a/packages/wire/lacewingsail/src/Wire/ConfigurationCheck.cpp
+++ b/packages/wire/lacewingsail/src/Wire/ConfigurationCheck.cpp
@@ -1,10 +1,10 @@
-#include "ConfigurationCheck.h"
+#include <lacewingsail/Wire.h>
 
 #include <map>
 #include <set>
 #include <tuple>
 
-namespace lacewingsail::internal {
+namespace lacewingsail {
 
 namespace {
 
@@ -118,11 +118,13 @@
 
 } // namespace
 
-void checkReferences(const Configuration& configuration, Problems& problems)
+bool checkConfiguration(const Configuration& configuration, Problems& problems)
 {
+    const std::size_t before = problems.size();
     checkServices(configuration, problems);
     checkRoutes(configuration, problems);
     checkAccounts(configuration, problems);
+    return problems.size() == before;
 }
 
-} // namespace lacewingsail::internal
+} // namespace lacewingsail
--- a/packages/wire/lacewingsail/src/Wire/ConfigurationCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/ConfigurationCodec.cpp
@@ -1,7 +1,6 @@
 #include <lacewingsail/Wire.h>
 
-#include "ConfigurationCheck.h"
-#include "JsonReader.h"
+#include "ConfigurationJson.h"
 
 #include <array>
 #include <utility>
@@ -162,6 +161,89 @@
         return result;
     }
 
+    template <typename Item>
+    using ReadItem = Item (*)(const json::value&, const std::string&, Problems&);
+
+    template <typename Item>
+    std::vector<Item> readItems(JsonReader& reader, const char* field, bool required, ReadItem<Item> readItem, Problems& problems)
+    {
+        std::vector<Item> items;
+        reader.array(field, required, [&](const json::value& element, const std::string& path) {
+            items.push_back(readItem(element, path, problems));
+        });
+        return items;
+    }
+
+    template <typename Item, typename Id>
+    ItemEdits<Item, Id> readItemEdits(JsonReader& parent, const char* field, ReadItem<Item> readItem, Problems& problems)
+    {
+        ItemEdits<Item, Id> edits;
+        const json::value* value = parent.field(field, false);
+        if (!value)
+            return edits;
+        JsonReader reader(*value, parent.pathOf(field), problems);
+        edits.upserts = readItems<Item>(reader, "upsert", false, readItem, problems);
+        reader.array("remove", false, [&](const json::value& element, const std::string& path) {
+            if (const json::string* name = element.if_string())
+                edits.removals.emplace_back(std::string(name->data(), name->size()));
+            else
+                problems.push_back({ path, "must be a name" });
+        });
+        reader.finish();
+        return edits;
+    }
+
+    template <typename Item, typename Id>
+    void addItemEdits(json::object& parent, const char* field, const ItemEdits<Item, Id>& edits)
+    {
+        if (edits.empty())
+            return;
+        json::array removals;
+        for (const Id& id : edits.removals)
+            removals.emplace_back(id.value());
+        parent[field] = json::object { { "upsert", arrayOf(edits.upserts) }, { "remove", std::move(removals) } };
+    }
+
+    Configuration readConfiguration(const json::value& value, const std::string& path, Problems& problems)
+    {
+        const std::size_t before = problems.size();
+        JsonReader reader(value, path, problems);
+        Configuration configuration;
+        configuration.services = readItems<Service>(reader, "services", true, readService, problems);
+        configuration.routes = readItems<Route>(reader, "routes", true, readRoute, problems);
+        configuration.accounts = readItems<ClientAccount>(reader, "accounts", true, readAccount, problems);
+        reader.finish();
+        checkConfiguration(configuration, problems);
+        if (problems.size() != before)
+            return {};
+        return configuration;
+    }
+
+    json::object toJson(const Configuration& configuration)
+    {
+        return { { "services", arrayOf(configuration.services) }, { "routes", arrayOf(configuration.routes) }, { "accounts", arrayOf(configuration.accounts) } };
+    }
+
+    ConfigurationEdits readEdits(const json::value& value, const std::string& path, Problems& problems)
+    {
+        JsonReader reader(value, path, problems);
+        ConfigurationEdits edits;
+        edits.services = readItemEdits<Service, ServiceId>(reader, "services", readService, problems);
+        edits.routes = readItemEdits<Route, RouteId>(reader, "routes", readRoute, problems);
+        edits.accounts = readItemEdits<ClientAccount, ClientAccountId>(reader, "accounts", readAccount, problems);
+        reader.finish();
+        return edits;
+    }
+
+    json::object toJson(const ConfigurationEdits& edits)
+    {
+        json::object result;
+        addItemEdits(result, "services", edits.services);
+        addItemEdits(result, "routes", edits.routes);
+        addItemEdits(result, "accounts", edits.accounts);
+        return result;
+    }
+
 } // namespace internal
 
 std::optional<Configuration> parseConfiguration(std::string_view json, Problems& problems)
@@ -170,28 +252,12 @@
     const auto value = internal::parseJson(json, problems);
     if (!value)
         return std::nullopt;
-    internal::JsonReader reader(*value, "", problems);
-    Configuration configuration;
-    reader.array("services", true, [&](const auto& element, const std::string& path) {
-        configuration.services.push_back(internal::readService(element, path, problems));
-    });
-    reader.array("routes", true, [&](const auto& element, const std::string& path) {
-        configuration.routes.push_back(internal::readRoute(element, path, problems));
-    });
-    reader.array("accounts", true, [&](const auto& element, const std::string& path) {
-        configuration.accounts.push_back(internal::readAccount(element, path, problems));
-    });
-    reader.finish();
-    internal::checkReferences(configuration, problems);
+    Configuration configuration = internal::readConfiguration(*value, "", problems);
     if (problems.size() != before)
         return std::nullopt;
     return configuration;
 }
 
-std::string formatConfiguration(const Configuration& configuration)
-{
-    return boost::json::serialize(boost::json::object { { "services", internal::arrayOf(configuration.services) },
-        { "routes", internal::arrayOf(configuration.routes) }, { "accounts", internal::arrayOf(configuration.accounts) } });
-}
+std::string formatConfiguration(const Configuration& configuration) { return boost::json::serialize(internal::toJson(configuration)); }
 
 } // namespace lacewingsail
--- a/packages/wire/lacewingsail/src/Wire/ConfigurationCodec.h
+++ b/packages/wire/lacewingsail/src/Wire/ConfigurationCodec.h
@@ -18,4 +18,9 @@
 /// \returns the configuration as JSON text that parseConfiguration reads back as the same value.
 std::string formatConfiguration(const Configuration&);
 
+/// \brief Checks what no single item can show: doubled names, dangling references, cycles, floors out of reach.
+/// parseConfiguration() does so too; this is for a configuration that was put together otherwise.
+/// \returns whether there is no problem.
+bool checkConfiguration(const Configuration&, Problems&);
+
 } // namespace lacewingsail
--- a/packages/wire/lacewingsail/src/Wire/ForwardDeclarations.h
+++ b/packages/wire/lacewingsail/src/Wire/ForwardDeclarations.h
@@ -3,6 +3,7 @@
 namespace lacewingsail {
 
 struct ConfigurationChange;
+struct ConfigurationCheckpoint;
 struct KeyWithdrawal;
 struct Problem;
 
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -11,6 +11,8 @@
     constexpr std::int64_t largestHeader = 1 << 20;
     constexpr std::int64_t largestBody = 1 << 28;
     constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
+    constexpr std::int64_t shortestRetentionMilliseconds = 1000;
+    constexpr std::int64_t longestRetentionMilliseconds = 366LL * 24 * 3'600'000;
     constexpr std::size_t shortestSecret = 16;
 
     void readEndpoint(JsonReader& reader, std::string_view name, Endpoint& endpoint)
@@ -59,6 +61,8 @@
     settings.fleetSecret = reader.text("fleet_secret");
     if (!settings.fleetSecret.empty() && settings.fleetSecret.size() < internal::shortestSecret)
         reader.problem("fleet_secret", "must have at least 16 characters");
+    settings.keyStalenessBound = internal::readTimeout(reader, "key_staleness_ms", settings.keyStalenessBound);
+    settings.logRetention = std::chrono::milliseconds(reader.integer("log_retention_ms", internal::shortestRetentionMilliseconds, internal::longestRetentionMilliseconds, settings.logRetention.count()));
     if (const auto* limits = reader.field("caller_limits", false))
         settings.limits = internal::readLimits(*limits, "caller_limits", problems);
     reader.finish();
--- a/packages/world/lacewingsail/World.h
+++ b/packages/world/lacewingsail/World.h
@@ -6,6 +6,7 @@
 #include "src/World/ForwardDeclarations.h"
 
 #include "src/World/Clock.h"
+#include "src/World/ConfigurationEdits.h"
 #include "src/World/Contracts.h"
 #include "src/World/Ids.h"
 #include "src/World/Machines.h"
--- a/packages/world/lacewingsail/src/World/Ids.h
+++ b/packages/world/lacewingsail/src/World/Ids.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <utility>
@@ -45,6 +46,15 @@
 /// \returns the version as a plain number, for logs and messages.
 constexpr unsigned long long number(ConfigurationVersion version) { return static_cast<unsigned long long>(version); }
 
+/// \brief Position of a record in a stream of the platform's log.
+enum class LogOffset : std::uint64_t {};
+
+/// \returns the offset after \p offset.
+constexpr LogOffset next(LogOffset offset) { return LogOffset { static_cast<std::uint64_t>(offset) + 1 }; }
+
+/// \returns the offset as a plain number, for logs and messages.
+constexpr std::uint64_t number(LogOffset offset) { return static_cast<std::uint64_t>(offset); }
+
 } // namespace lacewingsail
 
 template <typename Tag>
--- a/packages/world/lacewingsail/src/World/ResultCode.cpp
+++ b/packages/world/lacewingsail/src/World/ResultCode.cpp
@@ -40,6 +40,8 @@
         ResultCodeEntry { ResultCode::HostUnreachable, "host-unreachable", 503, "a host does not answer" },
         ResultCodeEntry { ResultCode::NotInForce, "not-in-force", 504, "the change was accepted but is not in force on every listed host yet" },
         ResultCodeEntry { ResultCode::NotAuthorized, "not-authorized", 403, "the caller is not an operator or a host of the fleet" },
+        ResultCodeEntry { ResultCode::CheckpointMissing, "checkpoint-missing", 503, "records of the log have expired and neither a checkpoint nor a host makes up for them" },
+        ResultCodeEntry { ResultCode::PartlyWithdrawn, "partly-withdrawn", 503, "a withdrawal reached neither the log nor more than half of the listed hosts" },
     };
 
     class ResultCategory final : public std::error_category {
--- a/packages/world/lacewingsail/src/World/ResultCode.h
+++ b/packages/world/lacewingsail/src/World/ResultCode.h
@@ -47,6 +47,8 @@
     HostUnreachable = 706,
     NotInForce = 707,
     NotAuthorized = 708,
+    CheckpointMissing = 709,
+    PartlyWithdrawn = 710,
 };
 
 /// \brief Whether the request may have had an effect on a backend server.
--- a/packages/world/lacewingsail/src/World/Settings.h
+++ b/packages/world/lacewingsail/src/World/Settings.h
@@ -34,6 +34,10 @@
     /// Shared secret of operators and hosts; never printed.
     std::string fleetSecret;
     CallerLimits limits;
+    /// A host that hears neither the log nor half of the listed hosts for this long refuses keyed requests.
+    std::chrono::milliseconds keyStalenessBound { 5000 };
+    /// How long the platform's log keeps a record.
+    std::chrono::milliseconds logRetention { 24 * 3'600'000 };
 };
 
 } // namespace lacewingsail
--- a/programs/lacewingctl/Command.h
+++ b/programs/lacewingctl/Command.h
@@ -1,40 +1,63 @@
 #pragma once
 
+#include "Options.h"
+
 #include <lacewingsail/World.h>
 
+#include <boost/json.hpp>
+
+#include <span>
 #include <string>
+#include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace lacewingsail {
 
-/// \brief What the command line says.
-struct Invocation {
-    std::vector<std::string> words;
-    Endpoint log;
-    Endpoint hostList;
-    std::string fleetSecret;
-    std::string author;
-    std::string account;
+/// \brief How a command ended, before it is printed as text or as JSON.
+struct Outcome {
+    std::error_code error;
+    /// What went wrong in particular; added to the message of the error.
+    std::string detail;
+    /// Printed by `--output json`, next to the result code.
+    boost::json::object fields;
+    /// Printed by `--output text`; ends with a newline unless it is empty.
+    std::string text;
+};
+
+/// \brief One command of the tool.
+struct Command {
+    /// One or two words, as in "keys issue".
+    std::string_view name;
+    /// What may follow, as in "FILE"; as many words as the command takes.
+    std::string_view arguments;
+    std::string_view help;
+    /// Names of the options that it takes besides the common ones, with a space between them.
+    std::string_view options;
+    Outcome (*run)(const Invocation&);
 };
 
-/// \brief Each runs one command, prints its outcome and returns the exit code.
-int runValidate(const Invocation&);
-int runPublish(const Invocation&);
-int runKeys(const Invocation&);
-int runStatus(const Invocation&);
+/// \brief The table of all commands. To add one, declare its function below and add its row in Commands.cpp.
+std::span<const Command> commands();
 
-/// \brief Exit codes: 0 for success, 2 for a wrong command line, otherwise the hundreds digit of the result code
-/// plus ten.
-constexpr int exitUsage = 2;
-int exitCodeOf(const std::error_code&);
+Outcome runValidate(const Invocation&);
+Outcome runDiff(const Invocation&);
+Outcome runPublish(const Invocation&);
+Outcome runKeysIssue(const Invocation&);
+Outcome runKeysWithdraw(const Invocation&);
+Outcome runKeysList(const Invocation&);
+Outcome runStatus(const Invocation&);
+Outcome runExplain(const Invocation&);
+Outcome runWatch(const Invocation&);
+Outcome runDrain(const Invocation&);
 
-/// \brief Says on the standard error stream what went wrong. \returns the exit code.
-int fail(const std::error_code&, const std::string& detail);
+/// \returns the command that the first words name, or null.
+const Command* findCommand(const std::vector<std::string>& words);
 
-/// \brief Reads a whole file. \returns false after having said that it cannot be read.
-bool readFile(const std::string& name, std::string& content);
+/// \returns the number of words in \p text.
+std::size_t countWords(std::string_view text);
 
-/// \returns the listed hosts; on failure says so and sets \p error.
-std::vector<Host> listHosts(const Invocation&, std::error_code& error);
+/// \returns an outcome that stands for a failure.
+Outcome failure(const std::error_code&, std::string detail);
 
 } // namespace lacewingsail
--- a/programs/lacewingctl/StatusCommand.cpp
+++ b/programs/lacewingctl/StatusCommand.cpp
@@ -1,36 +1,49 @@
-#include "Command.h"
-
-#include <lacewingsail/Http.h>
-
-#include <iostream>
+#include "Hosts.h"
 
 namespace lacewingsail {
 
 namespace {
 
-    constexpr std::chrono::seconds hostTimeout { 2 };
+    // The first answer of a host that refuses the secret says more than "does not answer".
+    std::error_code worstOf(const std::vector<HostAnswer>& answers)
+    {
+        std::error_code worst;
+        for (const HostAnswer& answer : answers) {
+            if (answer.error == ResultCode::NotAuthorized)
+                return answer.error;
+            if (answer.error)
+                worst = answer.error;
+        }
+        return worst;
+    }
+
+    std::string lineOf(const HostAnswer& answer)
+    {
+        if (answer.error)
+            return "host=" + answer.host.id.value() + " answers=no\n";
+        return boost::json::serialize(answer.body) + '\n';
+    }
 
 } // namespace
 
-int runStatus(const Invocation& invocation)
+Outcome runStatus(const Invocation& invocation)
 {
     std::error_code listError;
     const std::vector<Host> hosts = listHosts(invocation, listError);
     if (listError)
-        return fail(listError, "host list " + text(invocation.hostList));
-    int exitCode = 0;
-    for (const Host& host : hosts) {
-        std::error_code error;
-        const HttpRequest request { "GET", "/status", { { "Authorization", "Bearer " + invocation.fleetSecret } }, {} };
-        const HttpResponse response = HttpClient(host.operators).send(request, hostTimeout, error);
-        if (error || response.status != 200) {
-            std::cerr << "lacewingctl: host " << host.id.value() << " does not answer\n";
-            exitCode = exitCodeOf(ResultCode::HostUnreachable);
-            continue;
-        }
-        std::cout << response.body;
+        return failure(listError, "host list " + text(invocation.hostList));
+    const auto answers = askHosts(invocation, hosts, "GET", "/status");
+    Outcome outcome;
+    outcome.error = worstOf(answers);
+    outcome.detail = joinNames(silentHosts(answers));
+    boost::json::array rows;
+    for (const HostAnswer& answer : answers) {
+        outcome.text += lineOf(answer);
+        if (!answer.error)
+            rows.push_back(answer.body);
     }
-    return exitCode;
+    outcome.fields["hosts"] = std::move(rows);
+    return outcome;
 }
 
 } // namespace lacewingsail
--- a/programs/lacewingctl/main.cpp
+++ b/programs/lacewingctl/main.cpp
@@ -1,95 +1,79 @@
 /// \brief `lacewingctl`: the operators' tool.
 
 #include "Command.h"
+#include "ExitCode.h"
+#include "Help.h"
 
-#include <popt.h>
-
-#include <cstdlib>
 #include <iostream>
 
 namespace lacewingsail {
 
 namespace {
 
-    constexpr const char* synopsis = "COMMAND [OPTION...]\n"
-                                     "\n"
-                                     "Commands:\n"
-                                     "  validate FILE       check a configuration text\n"
-                                     "  publish FILE        publish a configuration text\n"
-                                     "  keys issue          issue a key for --account\n"
-                                     "  keys withdraw KEY   withdraw a key\n"
-                                     "  status              show every listed host";
-
-    struct RawOptions {
-        char* log = nullptr;
-        char* hostList = nullptr;
-        char* author = nullptr;
-        char* account = nullptr;
-    };
-
-    bool readEndpointOption(const char* name, const char* value, Endpoint& endpoint)
+    int usageError(const std::string& reason)
     {
-        if (!value || parseEndpoint(value, endpoint))
-            return true;
-        std::cerr << "lacewingctl: --" << name << " must be an IP number and a port\n";
-        return false;
+        std::cerr << "lacewingctl: " << reason << "; see lacewingctl --help\n";
+        return exitUsage;
     }
 
-    bool toInvocation(poptContext context, const RawOptions& raw, Invocation& invocation)
+    bool takesAllOptions(const Command& command, const Invocation& invocation)
     {
-        if (const char** words = poptGetArgs(context)) {
-            for (; *words; ++words)
-                invocation.words.emplace_back(*words);
+        for (const OptionDescription& option : optionDescriptions()) {
+            if (invocation.has(option.name) && !takesOption(command, option)) {
+                usageError(std::string(command.name) + " takes no --" + option.name);
+                return false;
+            }
         }
-        if (raw.author)
-            invocation.author = raw.author;
-        if (raw.account)
-            invocation.account = raw.account;
-        // The secret comes from the environment, so that it shows in no list of processes.
-        if (const char* secret = std::getenv("LACEWINGSAIL_FLEET_SECRET"))
-            invocation.fleetSecret = secret;
-        return readEndpointOption("log", raw.log, invocation.log) && readEndpointOption("host-list", raw.hostList, invocation.hostList);
+        return true;
     }
 
-    bool parseInvocation(int argumentCount, const char** arguments, Invocation& invocation)
+    void printJson(const Command& command, Outcome& outcome)
     {
-        RawOptions raw;
-        const poptOption table[] = {
-            { "log", 'l', POPT_ARG_STRING, &raw.log, 0, "address of the platform's log service", "IP:PORT" },
-            { "host-list", 'L', POPT_ARG_STRING, &raw.hostList, 0, "address of the platform's list of hosts", "IP:PORT" },
-            { "author", 'a', POPT_ARG_STRING, &raw.author, 0, "name to sign changes with", "NAME" },
-            { "account", 'A', POPT_ARG_STRING, &raw.account, 0, "client account", "NAME" },
-            POPT_AUTOHELP POPT_TABLEEND
-        };
-        poptContext context = poptGetContext("lacewingctl", argumentCount, arguments, table, 0);
-        poptSetOtherOptionHelp(context, synopsis);
-        const int result = poptGetNextOpt(context);
-        if (result < -1)
-            std::cerr << "lacewingctl: " << poptBadOption(context, 0) << ": " << poptStrerror(result) << '\n';
-        const bool good = result == -1 && toInvocation(context, raw, invocation);
-        if (good && invocation.words.empty())
-            poptPrintUsage(context, stderr, 0);
-        poptFreeContext(context);
-        return good && !invocation.words.empty();
+        const bool ours = !outcome.error || outcome.error.category() == resultCategory();
+        boost::json::object answer { { "command", command.name }, { "code", outcome.error.value() } };
+        answer["name"] = ours ? std::string(entryOf(static_cast<ResultCode>(outcome.error.value())).name) : "system-error";
+        if (outcome.error)
+            answer["message"] = outcome.error.message();
+        if (!outcome.detail.empty())
+            answer["detail"] = outcome.detail;
+        for (auto& field : outcome.fields)
+            answer[field.key()] = std::move(field.value());
+        std::cout << boost::json::serialize(answer) << '\n';
+    }
+
+    int report(const Command& command, const Invocation& invocation, Outcome outcome)
+    {
+        if (invocation.output == OutputFormat::Json)
+            printJson(command, outcome);
+        else
+            std::cout << outcome.text;
+        if (outcome.error)
+            std::cerr << "lacewingctl: " << outcome.error.message() << (outcome.detail.empty() ? "" : ": ") << outcome.detail << '\n';
+        return exitCodeOf(outcome.error);
     }
 
     int run(int argumentCount, const char** arguments)
     {
-        Invocation invocation;
-        invocation.author = "operator";
-        if (!parseInvocation(argumentCount, arguments, invocation))
+        CommandLine line;
+        if (!parseCommandLine(argumentCount, arguments, line))
             return exitUsage;
-        const std::string& command = invocation.words.front();
-        if (command == "validate")
-            return runValidate(invocation);
-        if (command == "publish")
-            return runPublish(invocation);
-        if (command == "keys")
-            return runKeys(invocation);
-        if (command == "status")
-            return runStatus(invocation);
-        std::cerr << "lacewingctl: unknown command " << command << '\n';
-        return exitUsage;
+        const Command* command = line.words.empty() ? nullptr : findCommand(line.words);
+        if (!command && line.help) {
+            std::cout << toolHelp();
+            return 0;
+        }
+        if (!command)
+            return usageError(line.words.empty() ? "a command is needed" : "unknown command " + line.words.front());
+        if (line.help) {
+            std::cout << commandHelp(*command);
+            return 0;
+        }
+        line.invocation.arguments.assign(line.words.begin() + static_cast<std::ptrdiff_t>(countWords(command->name)), line.words.end());
+        if (line.invocation.arguments.size() != countWords(command->arguments))
+            return usageError(std::string(command->name) + " takes " + (command->arguments.empty() ? "no argument" : std::string(command->arguments)));
+        if (!takesAllOptions(*command, line.invocation))
+            return exitUsage;
+        return report(*command, line.invocation, command->run(line.invocation));
     }
 
 } // namespace
--- a/scripts/fleet/scenarios.py
+++ b/scripts/fleet/scenarios.py
@@ -97,6 +97,7 @@
         self.history = history
         self.generator = generator
         self.count = 0
+        self.withdrawn = set()
         self.lock = threading.Lock()
 
     def publish(self, author):
@@ -104,9 +105,12 @@
             self.count += 1
             changed = copy.deepcopy(self.configuration)
             changed["routes"][0]["deadline_ms"] = 2000 + self.count
+            # A text that names a withdrawn key is refused.
+            for account in changed["accounts"]:
+                account["keys"] = [key for key in account["keys"] if key["id"] not in self.withdrawn]
             path = self.fleet.write(f"change-{self.count}.json", changed)
         begun = time.monotonic()
-        result = self.fleet.ctl("publish", path, "--author", author, check=False)
+        result = self.fleet.ctl("publish", path, "--author", author, "--no-wait", check=False)
         version = 0
         if result.returncode == 0:
             version = next(int(word.split("=")[1]) for word in result.stdout.split() if word.startswith("version="))
@@ -121,6 +125,7 @@
 
     def withdraw(self, key):
         """Withdraws through the log and every host, or through the log alone if hosts are out of the operator's reach."""
+        self.withdrawn.add(key)
         options = ["--host-list", "127.0.0.1:1"] if self.generator.random() < 0.5 else []
         result = self.fleet.ctl("keys", "withdraw", key, *options, check=False)
         if result.returncode == 0 and "logged=yes" in result.stdout or "hosts_told=0" not in result.stdout and result.returncode == 0:
--- a/tests/ConfigurationFoldTest.cpp
+++ b/tests/ConfigurationFoldTest.cpp
@@ -11,7 +11,7 @@
 
     FoldOutcome foldRecord(const std::string& id, unsigned long long replaces)
     {
-        return apply(fold, { id, "author", ConfigurationVersion { replaces }, std::make_shared<const Configuration>(), "" });
+        return apply(fold, { id, "author", ConfigurationVersion { replaces }, std::make_shared<const Configuration>() });
     }
 };
 
