--- a/scripts/fleet/callers.py
+++ b/scripts/fleet/callers.py
@@ -9,9 +9,9 @@
 import time
 from dataclasses import dataclass, field
 
+from .checkers import REQUEST_SECONDS
 from .history import ANSWERED, BROKEN, REFUSED, UNSENT, Operation
 
-REQUEST_SECONDS = 8.0
 CODE_FIELD = "X-Lacewingsail-Code"
 EXECUTION_FIELD = "X-Lacewingsail-Execution"
 ARCHIVE_FILES = [("season", 300_000), ("spring", 40_000), ("clocks", 5_000)]
--- a/scripts/fleet/checkers.py
+++ b/scripts/fleet/checkers.py
@@ -10,6 +10,8 @@
 
 from .history import ANSWERED, BROKEN, REFUSED, content_path
 
+# Longer than every deadline but a download's; callers give up after it.
+REQUEST_SECONDS = 8.0
 KEY_SECONDS = 2.0
 CONFIGURATION_SECONDS = 5.0
 LEAVING_SECONDS = 5.0
@@ -241,6 +243,34 @@
     return Verdict("whole-answers", checked, tuple(violations))
 
 
+def _disturbed(history, operation):
+    """Returns whether the host was killed or frozen while the operation was under way."""
+    return any(fault.target == operation.host and fault.begun <= operation.returned and operation.invoked <= fault.ended
+               for fault in history.faults if fault.kind in ("kill", "freeze"))
+
+
+def _server_fault(history, operation, text):
+    """Returns whether a backend server had a fault with this text in its name while the operation was under way."""
+    return any(fault.kind == "backend" and text in fault.target and fault.begun <= operation.returned and operation.invoked <= fault.ended
+               for fault in history.faults)
+
+
+def check_ends_are_visible(history):
+    """Every request ends for its caller: with an answer, a refusal, or a cut that it can see.
+
+    Callers wait longer than every deadline of a lookup or booking. Only a host that is gone, or a backend server that
+    keeps a download's body back, may leave a caller waiting."""
+    violations = []
+    for operation in history.operations:
+        waited = operation.returned - operation.invoked
+        if operation.outcome != BROKEN or waited < REQUEST_SECONDS or _disturbed(history, operation):
+            continue
+        if operation.kind == "download" and _server_fault(history, operation, "stall"):
+            continue
+        violations.append(f"{operation.kind} {operation.id} ({operation.path}) at {operation.host} had no end after {waited:.1f} s")
+    return Verdict("ends-are-visible", len(history.operations), tuple(violations))
+
+
 def check_versions_monotonic(history):
     """An accepted configuration never reverts."""
     latest = {}
@@ -314,12 +344,6 @@
     return Verdict("leaving-server", checked, tuple(violations))
 
 
-def _disturbed(history, operation):
-    """Returns whether another fault than the planned stop may have broken the operation."""
-    return any(fault.target in (operation.host, "fleet") and fault.begun <= operation.returned and operation.invoked <= fault.ended
-               for fault in history.faults if fault.kind in ("kill", "freeze", "backend"))
-
-
 def check_planned_stop(history):
     """Every planned stop is a graceful shutdown that cuts no request."""
     violations = []
@@ -333,6 +357,8 @@
             begun = operation.connected < stop.asked and (operation.invoked < stop.asked or operation.idle < KEPT_CONNECTION_IDLE_SECONDS)
             if not begun or _disturbed(history, operation):
                 continue
+            if operation.kind == "download" and _server_fault(history, operation, ""):
+                continue
             checked += 1
             if operation.outcome == BROKEN:
                 violations.append(f"request {operation.id} was cut by the planned stop of {stop.host}: {operation.problem}")
@@ -340,7 +366,7 @@
 
 
 CHECKERS = (check_rate_and_burst, check_booking_once, check_answered_bookings_ran, check_not_run_is_true, check_withdrawn_keys,
-            check_key_required, check_keys_hidden, check_whole_answers, check_versions_monotonic, check_configuration_in_force,
+            check_key_required, check_keys_hidden, check_whole_answers, check_ends_are_visible, check_versions_monotonic, check_configuration_in_force,
             check_floor, check_leaving, check_planned_stop)
 
 
--- a/tests/histories_test.py
+++ b/tests/histories_test.py
@@ -179,6 +179,26 @@
         self.bad(checkers.check_whole_answers, History(operations=[self.download(content="other")], contents=self.contents))
 
 
+class EndTest(CheckerTest):
+    def endless(self, **fields):
+        return operation("1", 1, 9.5, outcome="broken", status=0, **fields)
+
+    def test_visible_cut_and_stalled_download_hold(self):
+        stall = [Fault("backend", "127.0.0.1:1 stall_after 30000", 0.5, 3.0)]
+        self.good(checkers.check_ends_are_visible, History(operations=[operation("2", 1, 1.5, outcome="broken")]))
+        self.good(checkers.check_ends_are_visible, History(operations=[self.endless(kind="download")], faults=stall))
+
+    def test_caller_of_a_frozen_host_holds(self):
+        self.good(checkers.check_ends_are_visible, History(operations=[self.endless()], faults=[Fault("freeze", "host-0", 2.0, 12.0)]))
+
+    def test_download_that_a_server_cut_but_no_one_ended_is_rejected(self):
+        cut = [Fault("backend", "127.0.0.1:1 truncate_after 30000", 0.5, 3.0)]
+        self.bad(checkers.check_ends_are_visible, History(operations=[self.endless(kind="download")], faults=cut))
+
+    def test_lookup_without_end_is_rejected(self):
+        self.bad(checkers.check_ends_are_visible, History(operations=[self.endless()]))
+
+
 class ConfigurationTest(CheckerTest):
     accepted = [Publication("a", 0.5, 1.0, 2)]
 
