A broken answer ends the caller's connection at once

Cause: while (keep && co_await awaitRequest(...)) in serveCaller. The history of broken-downloads showed callers that waited although the host had journalled upstream-broken within milliseconds; strace showed no shutdown or close of the caller's socket but the wait for a next request. gcc 12 evaluates the co_await although keep is false, so the connection stayed open until its idle timeout. Ruled out: the relay (it returned Broken, and the upstream socket was closed), an exception in the session (the socket would have been closed).

--- a/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
@@ -134,7 +134,10 @@
     beast::tcp_stream caller(std::move(socket));
     beast::flat_buffer buffer;
     bool keep = true;
-    while (keep && co_await awaitRequest(thread, control, caller, buffer)) {
+    while (keep) {
+        // Not part of the condition above: gcc 12 evaluates a co_await behind && whatever stands before it.
+        if (!co_await awaitRequest(thread, control, caller, buffer))
+            break;
         RequestParser parser;
         const auto error = co_await readRequest(thread, caller, buffer, parser);
         if (error) {
--- a/scripts/fleet/scenarios.py
+++ b/scripts/fleet/scenarios.py
@@ -49,9 +49,11 @@
     Scenario("bookings", "bookings repeated at other hosts, hosts killed, appended claims without an answer", ("kill", "lose_answers", "mute_log", "kill"),
              plan=Plan(rate=25.0, lookups=1, bookings=3, keyed_bookings=8, downloads=0, opens=0)),
     Scenario("replacement", "hosts stopped as planned and replaced under load", ("replace", "replace"), hosts=6, spares=2),
-    Scenario("gray-servers", "stalls, errors, wrong and broken answers of backend servers", server_faults=("stall true", "error true", "wrong true", "truncate_after 30000", "stall_after 30000"),
+    Scenario("gray-servers", "stalls, errors, wrong and broken answers of backend servers", server_faults=("loan-desk stall true", "loan-desk error true", "loan-desk wrong true", "archive truncate_after 30000", "archive stall_after 30000"),
              plan=Plan(downloads=4)),
-    Scenario("leaving", "backend servers leave", server_faults=("leave", "leave")),
+    Scenario("broken-downloads", "backend servers break off in the middle of answers",
+             server_faults=("archive truncate_after 30000", "archive truncate_after 100", "archive truncate_after 0"), plan=Plan(lookups=2, bookings=0, keyed_bookings=0, downloads=4)),
+    Scenario("leaving", "backend servers leave", server_faults=("loan-desk leave", "archive leave")),
     Scenario("pairs", "pairs of faults of every kind", ("kill", "freeze", "deafen", "mute", "log_outage", "lose_answers", "cut_log"), racers=2, withdrawals=2, seconds=18.0),
 )}
 
@@ -186,10 +188,16 @@
 
 
 def server_fault_kinds(fleet, scenario, generator):
-    """Spreads the scenario's faults of backend servers over the servers, sparing one of each service."""
-    servers = [server for group in fleet.servers.values() for server in group[1:]]
-    generator.shuffle(servers)
-    return [f"leave {server}" if fault == "leave" else f"backend {server} {fault}" for fault, server in zip(scenario.server_faults, servers)]
+    """Gives each of the scenario's faults of backend servers a server of its service, sparing the first of each."""
+    servers = {service: group[1:] for service, group in fleet.servers.items()}
+    for group in servers.values():
+        generator.shuffle(group)
+    kinds = []
+    for entry in scenario.server_faults:
+        service, fault = entry.split(" ", 1)
+        server = servers[service].pop()
+        kinds.append(f"leave {server}" if fault == "leave" else f"backend {server} {fault}")
+    return kinds
 
 
 def stop_all(fleet, history):
