--- /dev/null
+++ b/packages/bookings/lacewingsail/src/Bookings/BookingShard.cpp
@@ -0,0 +1,95 @@
+#include <lacewingsail/Bookings.h>
+
+#include <cassert>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::chrono::milliseconds longPoll { 1000 };
+    constexpr std::chrono::milliseconds pauseAfterReadError { 100 };
+
+} // namespace internal
+
+BookingShard::BookingShard(std::string stream, std::unique_ptr<LogService> reader, std::unique_ptr<LogService> writer, Journal& journal, Handlers handlers)
+    : m_stream(std::move(stream))
+    , m_reader(std::move(reader))
+    , m_writer(std::move(writer))
+    , m_journal(journal)
+    , m_handlers(std::move(handlers))
+    , m_followThread([this] { follow(); })
+    , m_writeThread([this] { write(); })
+{
+}
+
+BookingShard::~BookingShard()
+{
+    m_stopping = true;
+    m_changed.notify_all();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_changed.notify_all();
+    }
+    m_followThread.join();
+    m_writeThread.join();
+}
+
+void BookingShard::append(const BookingBatch& batch)
+{
+    const std::lock_guard lock(m_mutex);
+    assert(!m_record);
+    m_record = formatBookingBatch(batch);
+    m_changed.notify_all();
+}
+
+void BookingShard::follow()
+{
+    LogOffset position {};
+    while (!m_stopping) {
+        std::error_code error;
+        const LogPage page = m_reader->read(m_stream, position, internal::longPoll, error);
+        if (error) {
+            m_handlers.readFailed();
+            std::this_thread::sleep_for(internal::pauseAfterReadError);
+            continue;
+        }
+        if (position != LogOffset {} && page.earliest > position)
+            m_journal.record(Event("bookings-expired-unread").with("stream", m_stream).with("position", static_cast<long long>(position)).with("earliest", static_cast<long long>(page.earliest)));
+        m_handlers.read(parse(page));
+        position = page.next;
+    }
+}
+
+// Every host skips the same records, so the folds stay alike.
+std::vector<BookingBatch> BookingShard::parse(const LogPage& page)
+{
+    std::vector<BookingBatch> batches;
+    for (const LogRecord& record : page.records) {
+        std::string problem;
+        if (auto batch = parseBookingBatch(record.body, problem))
+            batches.push_back(std::move(*batch));
+        else
+            m_journal.record(Event("booking-record-malformed").with("stream", m_stream).with("offset", static_cast<long long>(record.offset)).with("reason", problem));
+    }
+    return batches;
+}
+
+void BookingShard::write()
+{
+    for (;;) {
+        std::string record;
+        {
+            std::unique_lock lock(m_mutex);
+            m_changed.wait(lock, [this] { return m_record || m_stopping; });
+            if (!m_record)
+                return;
+            record = std::move(*m_record);
+            m_record.reset();
+        }
+        std::error_code error;
+        m_writer->append(m_stream, record, error);
+        m_handlers.appended(!error);
+    }
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/bookings/lacewingsail/src/Bookings/BookingShard.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "BookingBatch.h"
+
+#include <lacewingsail/Observe.h>
+#include <lacewingsail/Platform.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lacewingsail {
+
+/// \brief Follows and appends to one stream of bookings, on two threads of its own.
+class BookingShard {
+public:
+    /// \brief What it reports, from its threads.
+    struct Handlers {
+        /// Batches in log order; empty if the log answered and had nothing new.
+        std::function<void(std::vector<BookingBatch>)> read;
+        std::function<void()> readFailed;
+        std::function<void(bool answered)> appended;
+    };
+
+    BookingShard(std::string stream, std::unique_ptr<LogService> reader, std::unique_ptr<LogService> writer, Journal&, Handlers);
+
+    /// \brief Waits for the read and the append that are under way.
+    ~BookingShard();
+    BookingShard(const BookingShard&) = delete;
+    BookingShard& operator=(const BookingShard&) = delete;
+
+    /// \brief Appends a batch; Handlers::appended says how that went. One at a time.
+    void append(const BookingBatch&);
+
+private:
+    void follow();
+    void write();
+    std::vector<BookingBatch> parse(const LogPage&);
+
+    const std::string m_stream;
+    const std::unique_ptr<LogService> m_reader;
+    const std::unique_ptr<LogService> m_writer;
+    Journal& m_journal;
+    const Handlers m_handlers;
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::optional<std::string> m_record;
+    std::thread m_followThread;
+    std::thread m_writeThread;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/bookings/lacewingsail/src/Bookings/LogBookings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "BookingShard.h"
+#include "ClaimDesk.h"
+
+#include <lacewingsail/Observe.h>
+#include <lacewingsail/Platform.h>
+#include <lacewingsail/Policy.h>
+#include <lacewingsail/World.h>
+
+#include <functional>
+#include <memory>
+
+namespace lacewingsail {
+
+/// \brief Streams over which the keys are spread. Part of the format of the log: hosts that counted differently would
+/// claim one key on two streams.
+constexpr int bookingShards = 2;
+
+/// \returns the name of the stream that settles \p key.
+std::string bookingStream(const ClientAccountId&, const std::string& key);
+
+/// \brief Claims bookings on the streams `bookings/N` of the log.
+class LogBookings final : public BookingClaims {
+public:
+    using MakeLog = std::function<std::unique_ptr<LogService>()>;
+
+    LogBookings(const HostSettings&, const MakeLog&, const Clock&, Journal&);
+
+    /// \brief Waits a moment for outcomes that are not in the log yet.
+    ~LogBookings() override;
+    LogBookings(const LogBookings&) = delete;
+    LogBookings& operator=(const LogBookings&) = delete;
+
+    void claim(BookingClaim, MonotonicTime deadline, Answer) override;
+    void finish(BookingOutcome) override;
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -3,6 +3,7 @@
 #include "OperatorApi.h"
 #include "SnapshotPublisher.h"
 
+#include <lacewingsail/Bookings.h>
 #include <lacewingsail/ConfigurationSync.h>
 #include <lacewingsail/Limits.h>
 #include <lacewingsail/Membership.h>
@@ -51,6 +52,7 @@
     ConfigurationState configuration { journal };
     internal::CountedEvidence evidence { metrics };
     EvenSplit admission { settings.limitSlots, clock };
+    LogBookings bookings { settings, [this] { return std::make_unique<HttpLogService>(settings.log); }, clock, journal };
     PeerChannels channels;
     OperatorApi operatorApi { { settings, snapshot, configuration, metrics, journal, draining } };
     std::unique_ptr<FleetMembership> membership;
@@ -97,7 +99,7 @@
         settings.operators, internal::operatorThreads, [this](const HttpRequest& request) { return operatorApi.answer(request); }, error);
     if (error)
         return;
-    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal }, error);
+    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal, bookings }, error);
 }
 
 EntryHost::EntryHost(HostSettings settings, std::error_code& error)
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -9,6 +9,8 @@
 
 #include "src/Policy/Admission.h"
 #include "src/Policy/Attempt.h"
+#include "src/Policy/BookingClaims.h"
+#include "src/Policy/BookingFold.h"
 #include "src/Policy/Choice.h"
 #include "src/Policy/ConfigurationFold.h"
 #include "src/Policy/Evidence.h"
--- a/packages/policy/lacewingsail/src/Policy/Attempt.h
+++ b/packages/policy/lacewingsail/src/Policy/Attempt.h
@@ -24,15 +24,14 @@
 /// \brief A request that may have run although no whole answer arrived.
 class OutcomeUnknown {
 public:
-    ResultCode code() const { return m_code; }
-
-private:
-    friend class SentAttempt;
+    /// \brief Anyone may say so, as it claims nothing.
     explicit OutcomeUnknown(ResultCode code)
         : m_code(code)
     {
     }
 
+    ResultCode code() const { return m_code; }
+
     ResultCode m_code;
 };
 
--- a/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
@@ -5,6 +5,9 @@
 
 #include <lacewingsail/Wire.h>
 
+#include <algorithm>
+#include <array>
+
 namespace lacewingsail::internal {
 
 namespace {
@@ -12,7 +15,8 @@
     constexpr int requestIdBytes = 12;
     // A drained connection that has been idle this long is closed; a balancer that still uses it sends sooner.
     constexpr std::chrono::seconds drainIdleTime { 2 };
-    constexpr std::chrono::milliseconds drainCheckInterval { 200 };
+    // A request that crosses the closing of its connection is read this long, so that it finds its refusal.
+    constexpr std::chrono::milliseconds lingerTime { 500 };
 
     using RequestParser = http::request_parser<http::string_body>;
 
@@ -47,33 +51,59 @@
         return error == beast::error::timeout || (error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream && error != http::error::partial_message);
     }
 
-    // Waits until the next request begins. \returns false if the connection should be closed instead.
-    net::awaitable<bool> awaitRequest(RequestThread& thread, SessionControl& control, beast::tcp_stream& caller, const beast::flat_buffer& buffer)
+    /// \brief Makes a wait known to the host's planned stop while it lasts.
+    class ListedWait {
+    public:
+        ListedWait(RequestThread& thread, IdleWait& wait)
+            : m_thread(thread)
+            , m_wait(wait)
+        {
+            m_thread.idle.insert(&m_wait);
+        }
+        ~ListedWait() { m_thread.idle.erase(&m_wait); }
+        ListedWait(const ListedWait&) = delete;
+        ListedWait& operator=(const ListedWait&) = delete;
+
+    private:
+        RequestThread& m_thread;
+        IdleWait& m_wait;
+    };
+
+    // Waits until the next request begins; costs nothing meanwhile. \returns false if it took too long.
+    net::awaitable<bool> awaitRequest(RequestThread& thread, const SessionControl& control, beast::tcp_stream& caller, const beast::flat_buffer& buffer)
     {
         if (buffer.size() != 0)
             co_return true;
-        const Clock& clock = thread.services.clock;
-        const MonotonicTime idleSince = clock.now();
-        for (;;) {
-            net::steady_timer timer(thread.context, drainCheckInterval);
-            bool readable = false;
-            caller.socket().async_wait(net::socket_base::wait_read, [&timer, &readable](const boost::system::error_code& error) {
-                if (!error) {
-                    readable = true;
-                    timer.cancel();
-                }
-            });
-            boost::system::error_code ignored;
-            co_await timer.async_wait(net::redirect_error(net::use_awaitable, ignored));
-            caller.socket().cancel(ignored);
-            // Lets the cancelled wait run before its captures go out of scope.
-            co_await net::post(thread.context, net::use_awaitable);
-            if (readable)
-                co_return true;
-            const Duration idle = clock.now() - idleSince;
-            if (idle >= thread.services.settings.limits.idleTimeout || (control.draining && idle >= drainIdleTime))
-                co_return false;
+        auto wait = std::make_shared<IdleWait>(thread.context);
+        const ListedWait listed(thread, *wait);
+        wait->closeAt = std::chrono::steady_clock::now() + (control.draining ? drainIdleTime : Duration(thread.services.settings.limits.idleTimeout));
+        caller.socket().async_wait(net::socket_base::wait_read, [wait](const boost::system::error_code& error) {
+            wait->readable = !error;
+            wait->timer.cancel();
+        });
+        boost::system::error_code timerError = net::error::operation_aborted;
+        while (timerError && !wait->readable) {
+            wait->timer.expires_at(wait->closeAt);
+            co_await wait->timer.async_wait(net::redirect_error(net::use_awaitable, timerError));
         }
+        boost::system::error_code ignored;
+        if (!wait->readable)
+            caller.socket().cancel(ignored);
+        co_return wait->readable || caller.socket().available(ignored) > 0;
+    }
+
+    // Says "not run" to a request that may be on its way, and reads on for a moment: closing at once would reset the
+    // connection and take the refusal with it.
+    net::awaitable<void> closeIdle(const SessionControl& control, beast::tcp_stream& caller)
+    {
+        if (control.draining)
+            co_await sendAnswer(caller, refusalBeforeAttempt(ResultCode::ShuttingDown, {}), true);
+        boost::system::error_code error;
+        caller.socket().shutdown(net::socket_base::shutdown_send, error);
+        std::array<char, 4096> discarded {};
+        caller.expires_after(lingerTime);
+        while (!error)
+            co_await caller.async_read_some(net::buffer(discarded), net::redirect_error(net::use_awaitable, error));
     }
 
     net::awaitable<boost::system::error_code> readRequest(RequestThread& thread, beast::tcp_stream& caller, beast::flat_buffer& buffer, RequestParser& parser)
@@ -115,11 +145,10 @@
 
     net::awaitable<bool> serveOne(RequestThread& thread, SessionControl& control, beast::tcp_stream& caller, RequestParser& parser)
     {
-        auto request = std::make_shared<RequestContext>(thread, parser.release());
+        auto request = std::make_shared<RequestContext>(thread, control.draining, parser.release());
         request->id = RequestId(randomHex(requestIdBytes));
-        const bool closing = control.draining || !request->message.keep_alive();
         watchCaller(request, caller);
-        const bool keep = co_await serveRequest(*request, caller, closing);
+        const bool keep = co_await serveRequest(*request, caller);
         boost::system::error_code ignored;
         caller.socket().cancel(ignored);
         request->cancelAttempt = nullptr;
@@ -128,13 +157,26 @@
 
 } // namespace
 
+void hastenIdleSessions(RequestThread& thread)
+{
+    const auto closeAt = std::chrono::steady_clock::now() + drainIdleTime;
+    for (IdleWait* wait : thread.idle) {
+        wait->closeAt = std::min(wait->closeAt, closeAt);
+        wait->timer.cancel();
+    }
+}
+
 net::awaitable<void> serveCaller(RequestThread& thread, SessionControl& control, net::ip::tcp::socket socket)
 {
     const OpenConnection counted(control);
     beast::tcp_stream caller(std::move(socket));
     beast::flat_buffer buffer;
     bool keep = true;
-    while (keep && co_await awaitRequest(thread, control, caller, buffer)) {
+    while (keep) {
+        if (!co_await awaitRequest(thread, control, caller, buffer)) {
+            co_await closeIdle(control, caller);
+            co_return;
+        }
         RequestParser parser;
         const auto error = co_await readRequest(thread, caller, buffer, parser);
         if (error) {
--- a/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
@@ -1,5 +1,6 @@
 #include "Dispatch.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace lacewingsail::internal {
@@ -28,6 +29,14 @@
         return candidates;
     }
 
+    std::vector<bool> avoidedServers(const RequestContext& request, const Service& service)
+    {
+        std::vector<bool> avoided;
+        for (const BackendServer& server : service.backendServers)
+            avoided.push_back(std::find(request.avoided.begin(), request.avoided.end(), server.id) != request.avoided.end());
+        return avoided;
+    }
+
     bool mayTryAgain(const RequestContext& request, const AttemptResult& result)
     {
         if (request.callerGone || request.thread.services.clock.now() >= request.deadline)
@@ -44,7 +53,7 @@
     const ConfigurationTables& tables = *request.snapshot->tables;
     const std::size_t service = static_cast<std::size_t>(tables.services.at(request.route->service));
     const Service& configured = tables.configuration->services[service];
-    std::vector<bool> tried(configured.backendServers.size(), false);
+    std::vector<bool> tried = avoidedServers(request, configured);
     AttemptResult result = UnsentAttempt().refuse(ResultCode::NoBackendServer);
     for (int count = 0; count < mostAttempts; ++count) {
         const auto chosen = chooseBackendServer(candidatesOf(request, service, tried), request.thread.random());
--- a/packages/proxy/lacewingsail/src/Proxy/HeaderRules.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/HeaderRules.cpp
@@ -83,6 +83,7 @@
     eraseHopFields(header);
     header.erase(codeField);
     header.erase(executionField);
+    header.erase(replayedField);
     header.erase(requestIdField);
 }
 
--- a/packages/proxy/lacewingsail/src/Proxy/HeaderRules.h
+++ b/packages/proxy/lacewingsail/src/Proxy/HeaderRules.h
@@ -16,6 +16,9 @@
 constexpr const char* deadlineField = "X-Deadline-Ms";
 /// \brief Set by a backend server that did not run a request: "shed" or "leaving".
 constexpr const char* notRunField = "X-Not-Run";
+constexpr const char* idempotencyKeyField = "Idempotency-Key";
+/// \brief Set on the recorded answer of an earlier request with the same idempotency key.
+constexpr const char* replayedField = "X-Lacewingsail-Replayed";
 constexpr const char* codeField = "X-Lacewingsail-Code";
 constexpr const char* executionField = "X-Lacewingsail-Execution";
 
--- a/packages/proxy/lacewingsail/src/Proxy/ProxyServer.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/ProxyServer.cpp
@@ -85,6 +85,8 @@
 void ProxyServer::drain()
 {
     m_implementation->control.draining = true;
+    for (auto& thread : m_implementation->requestThreads)
+        net::post(thread->context, [&thread = *thread] { internal::hastenIdleSessions(thread); });
     net::post(m_implementation->requestThreads.front()->context, [this] {
         boost::system::error_code ignored;
         m_implementation->acceptor->close(ignored);
--- a/packages/proxy/lacewingsail/src/Proxy/ProxyServer.h
+++ b/packages/proxy/lacewingsail/src/Proxy/ProxyServer.h
@@ -20,6 +20,7 @@
     EvidenceSink& evidence;
     Metrics& metrics;
     Journal& journal;
+    BookingClaims& bookings;
 };
 
 /// \brief Serves callers on several threads.
--- a/packages/proxy/lacewingsail/src/Proxy/Refusal.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Refusal.cpp
@@ -39,4 +39,17 @@
 
 Answer refusalBeforeAttempt(ResultCode code, const RequestId& id) { return refusal(UnsentAttempt().refuse(code), id); }
 
+Answer replayedAnswer(const RecordedAnswer& recorded, const RequestId& id)
+{
+    Answer answer;
+    answer.version(11);
+    answer.result(static_cast<unsigned>(recorded.status));
+    if (!recorded.contentType.empty())
+        answer.set(http::field::content_type, recorded.contentType);
+    answer.set(requestIdField, id.value());
+    answer.set(replayedField, "true");
+    answer.body() = recorded.body;
+    return answer;
+}
+
 } // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/Refusal.h
+++ b/packages/proxy/lacewingsail/src/Proxy/Refusal.h
@@ -18,4 +18,7 @@
 /// \brief The answer to a request that was given up before it became an attempt.
 Answer refusalBeforeAttempt(ResultCode, const RequestId&);
 
+/// \brief The answer of an earlier request with the same idempotency key.
+Answer replayedAnswer(const RecordedAnswer&, const RequestId&);
+
 } // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
@@ -5,13 +5,28 @@
 
 #include <lacewingsail/Proxy.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace lacewingsail::internal {
 
+/// \brief Wakes a connection that waits for its next request.
+struct IdleWait {
+    explicit IdleWait(net::io_context& context)
+        : timer(context)
+    {
+    }
+
+    net::steady_timer timer;
+    net::steady_timer::time_point closeAt;
+    bool readable = false;
+};
+
 /// \brief What one request thread owns.
 struct RequestThread {
     explicit RequestThread(const ProxyServices& proxyServices, std::uint64_t seed)
@@ -25,6 +40,8 @@
     const ProxyServices& services;
     net::io_context context { 1 };
     UpstreamPool pool;
+    /// Connections that wait for their next request.
+    std::set<IdleWait*> idle;
     std::mt19937_64 random;
     CounterFamily requests;
     LatencyFamily times;
@@ -32,8 +49,9 @@
 
 /// \brief A request from its arrival to its answer.
 struct RequestContext {
-    RequestContext(RequestThread& requestThread, http::request<http::string_body> request)
+    RequestContext(RequestThread& requestThread, const std::atomic<bool>& hostDraining, http::request<http::string_body> request)
         : thread(requestThread)
+        , draining(hostDraining)
         , snapshot(requestThread.services.snapshot.current())
         , message(std::move(request))
         , arrivedAt(requestThread.services.clock.now())
@@ -41,6 +59,8 @@
     }
 
     RequestThread& thread;
+    /// Set while the host is on a planned stop.
+    const std::atomic<bool>& draining;
     /// Fixed for the whole request.
     std::shared_ptr<const FleetSnapshot> snapshot;
     http::request<http::string_body> message;
@@ -52,6 +72,12 @@
     /// Breaks off the attempt under way; empty while there is none.
     std::function<void()> cancelAttempt;
     bool callerGone = false;
+    /// Whether the caller's connection is closed after the answer; settled when the answer's header is made.
+    bool closing = false;
+    /// Backend servers that broke an answer to this request; they get no further attempt.
+    std::vector<BackendServerId> avoided;
+    /// What the pointers above point into, once a later snapshot has taken its place.
+    std::vector<std::shared_ptr<const FleetSnapshot>> earlierSnapshots;
 };
 
 } // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -1,6 +1,7 @@
 #include "RequestPath.h"
 
 #include "Await.h"
+#include "BookingStep.h"
 #include "Dispatch.h"
 #include "Refusal.h"
 #include "Relay.h"
@@ -12,6 +13,7 @@
 namespace {
 
     constexpr std::chrono::seconds answerWriteTimeout { 30 };
+    constexpr int mostBrokenAnswers = 3;
     constexpr std::string_view openAccountLabel = "(open)";
 
     ResultCode route(RequestContext& request)
@@ -83,18 +85,65 @@
         services.journal.record(event);
     }
 
-    net::awaitable<bool> refuse(RequestContext& request, beast::tcp_stream& caller, Answer answer, ResultCode code, const AttemptTarget& target, bool closing)
+    net::awaitable<bool> refuse(RequestContext& request, beast::tcp_stream& caller, Answer answer, ResultCode code, const AttemptTarget& target)
     {
         recordEnd(request, code, target);
+        const bool closing = settleClosing(request);
         const bool sent = co_await sendAnswer(caller, std::move(answer), closing);
         co_return sent && !closing;
     }
 
-    net::awaitable<bool> relayAndRecord(RequestContext& request, beast::tcp_stream& caller, const AttemptTarget& target, AnswerBegun begun, bool closing)
+    net::awaitable<bool> refuse(RequestContext& request, beast::tcp_stream& caller, const NotRun& notRun, const AttemptTarget& target)
     {
-        const RelayEnd end = co_await relay(request, target, std::move(begun), caller, closing);
-        recordEnd(request, end == RelayEnd::Whole ? ResultCode::Ok : ResultCode::UpstreamBroken, target);
-        co_return end == RelayEnd::Whole && !closing;
+        co_return co_await refuse(request, caller, refusal(notRun, request.id), notRun.code(), target);
+    }
+
+    net::awaitable<bool> refuse(RequestContext& request, beast::tcp_stream& caller, const OutcomeUnknown& unknown, const AttemptTarget& target)
+    {
+        co_return co_await refuse(request, caller, refusal(unknown, request.id), unknown.code(), target);
+    }
+
+    net::awaitable<bool> replay(RequestContext& request, beast::tcp_stream& caller, const RecordedAnswer& recorded)
+    {
+        recordEnd(request, ResultCode::Ok, {});
+        const bool closing = settleClosing(request);
+        const bool sent = co_await sendAnswer(caller, replayedAnswer(recorded, request.id), closing);
+        co_return sent && !closing;
+    }
+
+    // A broken answer of which the caller has seen nothing may be asked for again where that does no harm.
+    bool mayAskAgain(RequestContext& request, const AttemptTarget& target, int asked)
+    {
+        if (!request.route->repeatable || request.callerGone || asked >= mostBrokenAnswers)
+            return false;
+        request.avoided.push_back(target.server->id);
+        return request.thread.services.clock.now() < request.deadline;
+    }
+
+    net::awaitable<bool> run(RequestContext& request, beast::tcp_stream& caller, BookingEnd& end)
+    {
+        for (int asked = 1;; ++asked) {
+            AttemptTarget target;
+            AttemptResult result = co_await dispatch(request, target);
+            // The connection of an attempt without an answer is gone.
+            if (!std::holds_alternative<AnswerBegun>(result))
+                request.cancelAttempt = nullptr;
+            if (const auto* notRun = std::get_if<NotRun>(&result)) {
+                end.settle(BookingResult::NotRun);
+                co_return co_await refuse(request, caller, *notRun, target);
+            }
+            if (const auto* unknown = std::get_if<OutcomeUnknown>(&result))
+                co_return co_await refuse(request, caller, *unknown, target);
+            const RelayResult relayed = co_await relay(request, target, std::move(std::get<AnswerBegun>(result)), caller);
+            if (relayed.answer)
+                end.settle(BookingResult::Answered, *relayed.answer);
+            if (relayed.end == RelayEnd::NotBegun && mayAskAgain(request, target, asked))
+                continue;
+            if (relayed.end == RelayEnd::NotBegun)
+                co_return co_await refuse(request, caller, OutcomeUnknown(relayed.code), target);
+            recordEnd(request, relayed.code, target);
+            co_return relayed.end == RelayEnd::Whole && !request.closing;
+        }
     }
 
 } // namespace
@@ -109,18 +158,19 @@
     co_return !error;
 }
 
-net::awaitable<bool> serveRequest(RequestContext& request, beast::tcp_stream& caller, bool closing)
+net::awaitable<bool> serveRequest(RequestContext& request, beast::tcp_stream& caller)
 {
-    AttemptTarget target;
-    const ResultCode code = co_await decide(request);
-    if (code != ResultCode::Ok)
-        co_return co_await refuse(request, caller, refusalBeforeAttempt(code, request.id), code, target, closing);
-    AttemptResult result = co_await dispatch(request, target);
-    if (const auto* notRun = std::get_if<NotRun>(&result))
-        co_return co_await refuse(request, caller, refusal(*notRun, request.id), notRun->code(), target, closing);
-    if (const auto* unknown = std::get_if<OutcomeUnknown>(&result))
-        co_return co_await refuse(request, caller, refusal(*unknown, request.id), unknown->code(), target, closing);
-    co_return co_await relayAndRecord(request, caller, target, std::move(std::get<AnswerBegun>(result)), closing);
+    if (const ResultCode code = co_await decide(request); code != ResultCode::Ok)
+        co_return co_await refuse(request, caller, UnsentAttempt().refuse(code), {});
+    const BookingStep step = co_await claimBooking(request);
+    if (const auto* recorded = std::get_if<RecordedAnswer>(&step))
+        co_return co_await replay(request, caller, *recorded);
+    if (const auto* notRun = std::get_if<NotRun>(&step))
+        co_return co_await refuse(request, caller, *notRun, {});
+    if (const auto* unknown = std::get_if<OutcomeUnknown>(&step))
+        co_return co_await refuse(request, caller, *unknown, {});
+    BookingEnd end(request, std::get<MayRun>(step));
+    co_return co_await run(request, caller, end);
 }
 
 } // namespace lacewingsail::internal
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -11,6 +11,11 @@
     constexpr std::int64_t largestHeader = 1 << 20;
     constexpr std::int64_t largestBody = 1 << 28;
     constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
+    constexpr std::int64_t shortestRetentionMilliseconds = 60'000;
+    constexpr std::int64_t longestRetentionMilliseconds = 2'592'000'000;
+    constexpr std::int64_t smallestBookingTable = 1 << 16;
+    constexpr std::int64_t largestBookingTable = 1LL << 34;
+    constexpr std::int64_t longestAppendInterval = 1000;
     constexpr std::size_t shortestSecret = 16;
 
     void readEndpoint(JsonReader& reader, std::string_view name, Endpoint& endpoint)
@@ -37,6 +42,17 @@
         return limits;
     }
 
+    BookingLimits readBookingLimits(const boost::json::value& value, const std::string& path, Problems& problems)
+    {
+        BookingLimits limits;
+        JsonReader reader(value, path, problems);
+        limits.retention = std::chrono::milliseconds(reader.integer("retention_ms", shortestRetentionMilliseconds, longestRetentionMilliseconds, limits.retention.count()));
+        limits.tableBytes = static_cast<std::size_t>(reader.integer("table_bytes", smallestBookingTable, largestBookingTable, static_cast<std::int64_t>(limits.tableBytes)));
+        limits.appendInterval = std::chrono::milliseconds(reader.integer("append_interval_ms", 0, longestAppendInterval, limits.appendInterval.count()));
+        reader.finish();
+        return limits;
+    }
+
 } // namespace internal
 
 std::optional<HostSettings> parseSettings(std::string_view json, Problems& problems)
@@ -61,6 +77,8 @@
         reader.problem("fleet_secret", "must have at least 16 characters");
     if (const auto* limits = reader.field("caller_limits", false))
         settings.limits = internal::readLimits(*limits, "caller_limits", problems);
+    if (const auto* bookings = reader.field("bookings", false))
+        settings.bookings = internal::readBookingLimits(*bookings, "bookings", problems);
     reader.finish();
     if (problems.size() != before)
         return std::nullopt;
--- a/packages/world/lacewingsail/src/World/ResultCode.cpp
+++ b/packages/world/lacewingsail/src/World/ResultCode.cpp
@@ -32,6 +32,8 @@
         ResultCodeEntry { ResultCode::BookingUnknown, "booking-unknown", 409, "an earlier request with the same idempotency key may have run, and its outcome is not known" },
         ResultCodeEntry { ResultCode::BookingLogAway, "booking-log-away", 503, "the booking cannot be claimed while the log service is away" },
         ResultCodeEntry { ResultCode::IdempotencyKeyReused, "idempotency-key-reused", 422, "the idempotency key was used before with a different request" },
+        ResultCodeEntry { ResultCode::BookingAnswerNotKept, "booking-answer-not-kept", 409, "an earlier request with the same idempotency key was answered, and the answer was too large to be kept" },
+        ResultCodeEntry { ResultCode::BookingTableFull, "booking-table-full", 503, "the fleet has no room for further idempotency keys until older ones expire" },
         ResultCodeEntry { ResultCode::InvalidArgument, "invalid-argument", 400, "the command line or the operator's request is wrong" },
         ResultCodeEntry { ResultCode::InvalidSettings, "invalid-settings", 400, "the settings file is wrong" },
         ResultCodeEntry { ResultCode::InvalidConfiguration, "invalid-configuration", 400, "the configuration text is wrong" },
--- a/packages/world/lacewingsail/src/World/ResultCode.h
+++ b/packages/world/lacewingsail/src/World/ResultCode.h
@@ -38,6 +38,8 @@
     BookingUnknown = 602,
     BookingLogAway = 603,
     IdempotencyKeyReused = 604,
+    BookingAnswerNotKept = 605,
+    BookingTableFull = 606,
 
     InvalidArgument = 701,
     InvalidSettings = 702,
--- a/packages/world/lacewingsail/src/World/Settings.h
+++ b/packages/world/lacewingsail/src/World/Settings.h
@@ -16,6 +16,16 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
 };
 
+/// \brief How idempotency keys of bookings are kept.
+struct BookingLimits {
+    /// How long a key is remembered after its claim; the log service must keep records at least as long.
+    std::chrono::milliseconds retention { std::chrono::hours(24) };
+    /// Memory for remembered keys; at this bound the host refuses new ones.
+    std::size_t tableBytes = 32 * 1024 * 1024;
+    /// Least time between two appends of one host to one stream of bookings.
+    std::chrono::milliseconds appendInterval { 100 };
+};
+
 /// \brief What a process of the fleet learns from its settings file.
 struct HostSettings {
     HostId id;
@@ -34,6 +44,7 @@
     /// Shared secret of operators and hosts; never printed.
     std::string fleetSecret;
     CallerLimits limits;
+    BookingLimits bookings;
 };
 
 } // namespace lacewingsail
