Bookings: answers to the first read at once; end-to-end test of idempotency keys under faults

Cause: a host took the log for away until its first long poll of an empty stream ended, a second after its start, and refused bookings meanwhile (603). Found by tests/bookings_test.py, first scenario: 0 of 20 keys ran. Ruled out: the append (it was never tried).

--- a/packages/bookings/lacewingsail/src/Bookings/BookingShard.cpp
+++ b/packages/bookings/lacewingsail/src/Bookings/BookingShard.cpp
@@ -7,6 +7,7 @@
 namespace internal {
 
     constexpr std::chrono::milliseconds longPoll { 1000 };
+    constexpr std::chrono::milliseconds noWait { 0 };
     constexpr std::chrono::milliseconds pauseAfterReadError { 100 };
 
 } // namespace internal
@@ -45,9 +46,12 @@
 void BookingShard::follow()
 {
     LogOffset position {};
+    // The first answer tells that the log is there; it must not wait for a record.
+    bool heard = false;
     while (!m_stopping) {
         std::error_code error;
-        const LogPage page = m_reader->read(m_stream, position, internal::longPoll, error);
+        const LogPage page = m_reader->read(m_stream, position, heard ? internal::longPoll : internal::noWait, error);
+        heard = !error;
         if (error) {
             m_handlers.readFailed();
             std::this_thread::sleep_for(internal::pauseAfterReadError);
--- a/tests/bookings_test.py
+++ b/tests/bookings_test.py
@@ -94,6 +94,8 @@
 
     def expect(self, condition, what):
         if not condition:
+            for each in self.calls[-40:]:
+                print(f"  {each.key}: {each.status} {each.code} {each.execution} {each.body[:120]!r}", file=sys.stderr)
             raise FleetError(f"expected {what}")
 
 
@@ -189,6 +191,8 @@
         for host in fleet.hosts:
             wait_until(lambda host=host: fleet.ready(host), f"{host.name} to be ready")
         run = Run(fleet)
+        for host in fleet.hosts:
+            wait_until(lambda host=host: run.book(host, f"first-{host.name}").status == 201, f"{host.name} to take bookings")
         for scenario in SCENARIOS:
             scenario(run)
             found = violations(run.calls, run.effects())
