--- a/models/bookings.pml
+++ b/models/bookings.pml
@@ -68,8 +68,8 @@
     // The append takes effect at once or late, or never; its answer arrives or is lost.
     atomic {
         if
-        :: append(CLAIM, id + 1); answered = true
-        :: append(CLAIM, id + 1); answered = false
+        :: answered = true; append(CLAIM, id + 1)
+        :: answered = false; append(CLAIM, id + 1)
         :: late[id] = true; answered = false
         :: answered = false
         fi
@@ -120,8 +120,8 @@
 #endif
         :: atomic {
             // No connection: the request was never sent.
-            append(NOT_RUN, id + 1);
-            told[id] = TOLD_NOT_RUN
+            told[id] = TOLD_NOT_RUN;
+            append(NOT_RUN, id + 1)
            }
 #ifdef MUTANT_BLIND_REAPPEND
             decided = false;
@@ -133,9 +133,9 @@
             :: skip
 #endif
 #ifdef MUTANT_RELEASE_AFTER_SENDING
-            :: atomic { append(NOT_RUN, id + 1); told[id] = TOLD_UNKNOWN }
+            :: atomic { told[id] = TOLD_UNKNOWN; append(NOT_RUN, id + 1) }
 #endif
-            :: atomic { append(ANSWERED, id + 1); told[id] = TOLD_ANSWER }
+            :: atomic { told[id] = TOLD_ANSWER; append(ANSWERED, id + 1) }
             :: atomic { told[id] = TOLD_UNKNOWN }
             fi
         fi
--- /dev/null
+++ b/tests/ClaimDeskPropertyTest.cpp
@@ -0,0 +1,186 @@
+#include <lacewingsail/Bookings.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <functional>
+#include <iostream>
+
+using namespace lacewingsail;
+
+namespace {
+
+constexpr std::size_t hosts = 3;
+constexpr int keys = 2;
+constexpr std::chrono::seconds claimTime { 5 };
+
+/// \brief Three hosts over one log: appends get lost, late or unanswered, and each host reads at its own pace.
+struct RandomFleet {
+    struct Step {
+        int action;
+        int choice;
+    };
+
+    ManualClock clock;
+    std::vector<std::unique_ptr<ClaimDesk>> desks;
+    std::vector<BookingBatch> log;
+    std::vector<BookingBatch> late;
+    std::array<std::size_t, hosts> positions {};
+    std::vector<BookingClaim> running;
+    std::map<std::string, int> sent;
+    std::map<std::string, int> answers;
+    int requests = 0;
+
+    RandomFleet()
+    {
+        clock.advance(std::chrono::hours(1));
+        for (std::size_t host = 0; host < hosts; ++host) {
+            desks.push_back(std::make_unique<ClaimDesk>(HostId("host-" + std::to_string(host)), BookingLimits {}));
+            desks.back()->heard(clock.now());
+        }
+    }
+
+    void claim(ClaimDesk& desk, int choice)
+    {
+        const BookingClaim claim { ClientAccountId("norrland"), "key-" + std::to_string(choice % keys), "f", RequestId("r" + std::to_string(++requests)), claimTime };
+        desk.claim(
+            claim, clock.now() + claimTime, [this, claim](const ClaimDecision& decision) {
+                ++answers[claim.request.value()];
+                if (decision.verdict == ClaimVerdict::Run)
+                    running.push_back(claim);
+            },
+            clock.now());
+    }
+
+    void append(ClaimDesk& desk, int choice)
+    {
+        const auto batch = desk.nextBatch(clock.now());
+        if (!batch)
+            return;
+        if (choice % 4 != 0)
+            log.push_back(*batch);
+        else if (choice % 8 == 0)
+            late.push_back(*batch);
+        desk.appended(choice % 4 == 1, clock.now());
+    }
+
+    void deliverLate()
+    {
+        if (late.empty())
+            return;
+        log.push_back(late.back());
+        late.pop_back();
+    }
+
+    void read(std::size_t host)
+    {
+        if (positions[host] < log.size())
+            desks[host]->read(log[positions[host]++], clock.now());
+        desks[host]->heard(clock.now());
+    }
+
+    // The claimant goes on, perhaps after a long pause: it sends, or finds no connection.
+    void goOn(ClaimDesk& desk, int choice)
+    {
+        if (running.empty())
+            return;
+        const BookingClaim claim = running.front();
+        running.erase(running.begin());
+        const bool sends = choice % 3 != 0;
+        if (sends)
+            ++sent[claim.key];
+        const bool crashes = choice % 5 == 0;
+        if (!crashes)
+            desk.finish({ claim.account, claim.key, claim.request, sends ? BookingResult::Answered : BookingResult::NotRun, { 201, "", "", true } });
+    }
+
+    void take(const Step& step)
+    {
+        const auto host = static_cast<std::size_t>(step.choice) % hosts;
+        ClaimDesk& desk = *desks[host];
+        const int choice = step.choice / static_cast<int>(hosts);
+        switch (step.action) {
+        case 0:
+            return claim(desk, choice);
+        case 1:
+            return append(desk, choice);
+        case 2:
+            return deliverLate();
+        case 3:
+            return goOn(desk, choice);
+        case 4:
+            clock.advance(std::chrono::milliseconds(choice * 100));
+            return desk.tick(clock.now());
+        default:
+            return read(host);
+        }
+    }
+};
+
+bool holdsFor(std::uint64_t seed, const std::function<void()>& property)
+{
+    rc::detail::TestParams params;
+    params.seed = seed;
+    params.maxSuccess = 300;
+    params.maxSize = 400;
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata {}, params);
+    if (!result.is<rc::detail::SuccessResult>())
+        rc::detail::printResultMessage(result, std::cerr);
+    return result.is<rc::detail::SuccessResult>();
+}
+
+rc::Gen<RandomFleet::Step> anyStep()
+{
+    return rc::gen::construct<RandomFleet::Step>(rc::gen::inRange(0, 9), rc::gen::inRange(0, 120));
+}
+
+void showValue(const RandomFleet::Step& step, std::ostream& stream) { stream << step.action << '/' << step.choice; }
+
+void sendsAtMostOnce()
+{
+    const auto steps = *rc::gen::container<std::vector<RandomFleet::Step>>(anyStep());
+    RandomFleet fleet;
+    for (const auto& step : steps)
+        fleet.take(step);
+    for (const auto& [key, count] : fleet.sent)
+        RC_ASSERT(count <= 1);
+    for (const auto& [request, count] : fleet.answers)
+        RC_ASSERT(count == 1);
+    RC_CLASSIFY(!fleet.sent.empty());
+}
+
+void foldsAlike()
+{
+    const auto steps = *rc::gen::container<std::vector<RandomFleet::Step>>(anyStep());
+    RandomFleet fleet;
+    for (const auto& step : steps)
+        fleet.take(step);
+    for (std::size_t host = 0; host < hosts; ++host) {
+        while (fleet.positions[host] < fleet.log.size())
+            fleet.read(host);
+    }
+    const BookingFold& first = fleet.desks[0]->fold();
+    for (const auto& desk : fleet.desks) {
+        RC_ASSERT(desk->fold().bytes == first.bytes);
+        RC_ASSERT(desk->fold().bookings.size() == first.bookings.size());
+        for (const auto& [name, booking] : desk->fold().bookings) {
+            RC_ASSERT(first.bookings.at(name).owner == booking.owner);
+            RC_ASSERT(first.bookings.at(name).ended == booking.ended);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("claim, any order of appends, losses, pauses and crashes, sends a key at most once")
+{
+    for (const std::uint64_t seed : { 1U, 2U, 3U })
+        CHECK(holdsFor(seed, sendsAtMostOnce));
+}
+
+TEST_CASE("fold, same log read at different paces, is the same on every host")
+{
+    for (const std::uint64_t seed : { 1U, 2U })
+        CHECK(holdsFor(seed, foldsAlike));
+}
