--- a/packages/bookings/lacewingsail/src/Bookings/BookingShard.cpp
+++ b/packages/bookings/lacewingsail/src/Bookings/BookingShard.cpp
@@ -26,7 +26,8 @@
 BookingShard::~BookingShard()
 {
     m_stopping = true;
-    m_changed.notify_all();
+    m_reader->interrupt();
+    m_writer->interrupt();
     {
         const std::lock_guard lock(m_mutex);
         m_changed.notify_all();
--- a/packages/bookings/lacewingsail/src/Bookings/BookingShard.h
+++ b/packages/bookings/lacewingsail/src/Bookings/BookingShard.h
@@ -30,7 +30,7 @@
 
     BookingShard(std::string stream, std::unique_ptr<LogService> reader, std::unique_ptr<LogService> writer, Journal&, Handlers);
 
-    /// \brief Waits for the read and the append that are under way.
+    /// \brief Breaks off the read and the append that are under way.
     ~BookingShard();
     BookingShard(const BookingShard&) = delete;
     BookingShard& operator=(const BookingShard&) = delete;
