--- a/packages/policy/lacewingsail/src/Policy/Attempt.h
+++ b/packages/policy/lacewingsail/src/Policy/Attempt.h
@@ -32,6 +32,7 @@
 
     ResultCode code() const { return m_code; }
 
+private:
     ResultCode m_code;
 };
 
