--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -3,6 +3,7 @@
 #include "OperatorApi.h"
 #include "SnapshotPublisher.h"
 
+#include <lacewingsail/Bookings.h>
 #include <lacewingsail/ConfigurationSync.h>
 #include <lacewingsail/Limits.h>
 #include <lacewingsail/Membership.h>
@@ -56,6 +57,7 @@
     std::atomic<MonotonicTime> configurationHeardAt { MonotonicTime {} };
     internal::CountedEvidence evidence { metrics };
     EvenSplit admission { settings.limitSlots, clock };
+    LogBookings bookings { settings, [this] { return std::make_unique<HttpLogService>(settings.log); }, clock, journal };
     PeerChannels channels;
     std::unique_ptr<FleetMembership> membership;
     std::unique_ptr<ConfigurationPeers> configurationPeers;
@@ -132,7 +134,7 @@
         settings.operators, internal::operatorThreads, [this](const HttpRequest& request) { return operatorApi->answer(request); }, error);
     if (error)
         return;
-    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal }, error);
+    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal, bookings }, error);
 }
 
 EntryHost::EntryHost(HostSettings settings, std::error_code& error)
--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -3,6 +3,7 @@
 namespace lacewingsail {
 
 class Admission;
+class BookingClaims;
 class EvidenceSink;
 class KeyFreshness;
 class NotRun;
@@ -10,9 +11,16 @@
 class UnsentAttempt;
 enum class FoldOutcome;
 enum class LinkDirection;
+enum class BookingResult : unsigned char;
+enum class ClaimVerdict : unsigned char;
 struct AttemptEvidence;
 struct BackendServerLoad;
+struct Booking;
+struct BookingClaim;
+struct BookingFold;
+struct BookingOutcome;
 struct Candidate;
+struct ClaimDecision;
 struct ConfigurationFold;
 struct ConfigurationReader;
 struct ConfigurationRecord;
@@ -21,6 +29,7 @@
 struct FleetSnapshot;
 struct KeyTable;
 struct Link;
+struct RecordedAnswer;
 struct RouteTable;
 struct TaskRank;
 struct TokenBucket;
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -13,6 +13,11 @@
     constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
     constexpr std::int64_t shortestRetentionMilliseconds = 1000;
     constexpr std::int64_t longestRetentionMilliseconds = 366LL * 24 * 3'600'000;
+    constexpr std::int64_t shortestClaimRetentionMilliseconds = 60'000;
+    constexpr std::int64_t longestClaimRetentionMilliseconds = 2'592'000'000;
+    constexpr std::int64_t smallestBookingTable = 1 << 16;
+    constexpr std::int64_t largestBookingTable = 1LL << 34;
+    constexpr std::int64_t longestAppendInterval = 1000;
     constexpr std::size_t shortestSecret = 16;
 
     void readEndpoint(JsonReader& reader, std::string_view name, Endpoint& endpoint)
@@ -39,6 +44,17 @@
         return limits;
     }
 
+    BookingLimits readBookingLimits(const boost::json::value& value, const std::string& path, Problems& problems)
+    {
+        BookingLimits limits;
+        JsonReader reader(value, path, problems);
+        limits.retention = std::chrono::milliseconds(reader.integer("retention_ms", shortestClaimRetentionMilliseconds, longestClaimRetentionMilliseconds, limits.retention.count()));
+        limits.tableBytes = static_cast<std::size_t>(reader.integer("table_bytes", smallestBookingTable, largestBookingTable, static_cast<std::int64_t>(limits.tableBytes)));
+        limits.appendInterval = std::chrono::milliseconds(reader.integer("append_interval_ms", 0, longestAppendInterval, limits.appendInterval.count()));
+        reader.finish();
+        return limits;
+    }
+
 } // namespace internal
 
 std::optional<HostSettings> parseSettings(std::string_view json, Problems& problems)
@@ -65,6 +81,8 @@
     settings.logRetention = std::chrono::milliseconds(reader.integer("log_retention_ms", internal::shortestRetentionMilliseconds, internal::longestRetentionMilliseconds, settings.logRetention.count()));
     if (const auto* limits = reader.field("caller_limits", false))
         settings.limits = internal::readLimits(*limits, "caller_limits", problems);
+    if (const auto* bookings = reader.field("bookings", false))
+        settings.bookings = internal::readBookingLimits(*bookings, "bookings", problems);
     reader.finish();
     if (problems.size() != before)
         return std::nullopt;
