Limit slots: claims on the stream `slots`, with leases and no shared clock

Cause: an even static split refuses wrongly when callers are not spread evenly, and a crashed host's share is lost for good. Limits are divided into slots that hosts hold by claims on the log.

A claim or a fence compares and swaps on the last record about the slot, so that a renewal that came first defeats it. A slot that was taken over begins empty; only one that nobody ever held begins full.

Ruled out: trusting the answer of an append (it may be lost; the own record is looked for in the stream); naming a host as the holder (a restarted one has forgotten what it spent, so each run is a holder of its own).

--- a/packages/limits/lacewingsail/Limits.h
+++ b/packages/limits/lacewingsail/Limits.h
@@ -2,9 +2,13 @@
 
 /// \brief Umbrella header of the package `limits`: how a client account's rate and burst hold across all hosts.
 
+#include <lacewingsail/Observe.h>
+#include <lacewingsail/Platform.h>
 #include <lacewingsail/Policy.h>
 #include <lacewingsail/World.h>
 
 #include "src/Limits/ForwardDeclarations.h"
 
 #include "src/Limits/EvenSplit.h"
+#include "src/Limits/SlotClaims.h"
+#include "src/Limits/SlotKeeper.h"
--- a/packages/limits/lacewingsail/src/Limits/ForwardDeclarations.h
+++ b/packages/limits/lacewingsail/src/Limits/ForwardDeclarations.h
@@ -3,5 +3,8 @@
 namespace lacewingsail {
 
 class EvenSplit;
+class SlotClaims;
+class SlotKeeper;
+struct SlotTerms;
 
 } // namespace lacewingsail
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/SlotClaims.cpp
@@ -0,0 +1,167 @@
+#include <lacewingsail/Limits.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    /// The share of a lease after which it is renewed: one part in this many.
+    constexpr int renewalParts = 3;
+    /// How long a host waits for a record of its own to show up in the stream before it sends another.
+    constexpr std::chrono::seconds recordPatience { 3 };
+    /// How long a slot stays free before another host than the preferred one claims it.
+    constexpr std::chrono::seconds claimPatience { 2 };
+    constexpr std::size_t mostSentRecords = 256;
+
+} // namespace internal
+
+SlotClaims::SlotClaims(SlotTerms terms, MonotonicTime readSince)
+    : m_terms(std::move(terms))
+    , m_readSince(readSince)
+{
+    assert(!m_terms.holder.empty());
+    assert(m_terms.slotCount > 0 && m_terms.lease.count() > 0);
+}
+
+SlotOutcome SlotClaims::take(const SlotRecord& record, std::int64_t offset, MonotonicTime now)
+{
+    SlotOutcome outcome = apply(m_fold, record, offset);
+    m_sights.resize(m_fold.slots.size());
+    const auto sent = m_sent.find(record.id);
+    const bool own = sent != m_sent.end() && record.holder == m_terms.holder;
+    for (const SlotIndex slot : outcome.changed) {
+        m_sights[number(slot)].lastRecordReadAt = now;
+        if (m_fold.slots[number(slot)].holder != m_terms.holder) {
+            m_leases.erase(slot);
+            m_retired.erase(slot);
+        } else if (own) {
+            const bool first = record.kind == SlotRecordKind::Claim && std::ranges::find(outcome.firstHeld, slot) != outcome.firstHeld.end();
+            extend(slot, first && complete(), sent->second, now);
+        }
+    }
+    if (own)
+        m_sent.erase(sent);
+    return outcome;
+}
+
+void SlotClaims::extend(SlotIndex slot, bool first, MonotonicTime askedAt, MonotonicTime now)
+{
+    dropLapsed(now);
+    const auto known = m_leases.find(slot);
+    // A slot that was taken over, or whose lease had lapsed for a while, begins empty: its burst may just have
+    // been spent. Only a slot that nobody ever held begins full.
+    if (known == m_leases.end())
+        m_leases.emplace(slot, Lease { askedAt, now, first });
+    else
+        known->second.askedAt = std::max(known->second.askedAt, askedAt);
+    if (m_leaving)
+        m_retired.emplace(slot, now);
+}
+
+void SlotClaims::dropLapsed(MonotonicTime now)
+{
+    std::erase_if(m_leases, [&](const auto& entry) { return now >= endOf(entry.second); });
+}
+
+HeldSlots SlotClaims::held(MonotonicTime now) const
+{
+    HeldSlots result;
+    result.slotCount = static_cast<std::uint32_t>(m_fold.slots.size());
+    result.until = MonotonicTime::max();
+    for (const auto& [slot, lease] : m_leases) {
+        if (now >= endOf(lease) || m_retired.contains(slot))
+            continue;
+        result.slots.push_back({ slot, lease.beganFull, lease.since });
+        result.until = std::min(result.until, endOf(lease));
+    }
+    return result;
+}
+
+void SlotClaims::giveUpAll(MonotonicTime now)
+{
+    m_leaving = true;
+    for (const SlotIndex slot : slotsOf(m_fold, m_terms.holder))
+        m_retired.emplace(slot, now);
+}
+
+bool SlotClaims::awaitsRecord(MonotonicTime now) const
+{
+    return m_sent.contains(m_lastSent) && now < m_lastSentAt + internal::recordPatience;
+}
+
+bool SlotClaims::renewalDue(const std::vector<SlotIndex>& slots, MonotonicTime now) const
+{
+    return std::ranges::any_of(slots, [&](SlotIndex slot) {
+        const auto lease = m_leases.find(slot);
+        return lease == m_leases.end() || now >= lease->second.askedAt + m_terms.lease / internal::renewalParts;
+    });
+}
+
+std::vector<SlotBasis> SlotClaims::basesOf(const std::vector<SlotIndex>& slots) const
+{
+    std::vector<SlotBasis> result;
+    for (const SlotIndex slot : slots)
+        result.push_back({ slot, m_fold.slots[number(slot)].lastRecord });
+    return result;
+}
+
+SlotView SlotClaims::viewOf(const SlotFold& fold, const std::vector<SlotSight>& sights, const std::vector<HostId>& hosts) const
+{
+    return { fold, sights, complete(), m_readSince, m_terms.lease, m_terms.host, m_terms.holder, hosts };
+}
+
+std::vector<SlotBasis> SlotClaims::claims(const std::vector<HostId>& hosts, MonotonicTime now) const
+{
+    if (m_leaving)
+        return {};
+    if (!m_fold.slots.empty())
+        return claimsToMake(viewOf(m_fold, m_sights, hosts), internal::claimPatience, now);
+    SlotFold untouched;
+    untouched.slots.resize(m_terms.slotCount);
+    return claimsToMake(viewOf(untouched, std::vector<SlotSight>(m_terms.slotCount), hosts), internal::claimPatience, now);
+}
+
+// A slot is first retired and only released when everything lent out of it has lapsed.
+std::vector<SlotBasis> SlotClaims::releases(const std::vector<HostId>& hosts, MonotonicTime now)
+{
+    if (m_retired.empty() && !m_leaving && !m_fold.slots.empty()) {
+        for (const SlotBasis& basis : releasesToMake(viewOf(m_fold, m_sights, hosts)))
+            m_retired.emplace(basis.slot, now);
+    }
+    std::vector<SlotIndex> due;
+    for (const auto& [slot, since] : m_retired) {
+        if (now >= since + m_terms.loanTerm && m_fold.slots[number(slot)].holder == m_terms.holder)
+            due.push_back(slot);
+    }
+    return basesOf(due);
+}
+
+std::optional<SlotRecord> SlotClaims::make(SlotRecordKind kind, std::vector<SlotBasis> slots, const std::string& recordId, MonotonicTime now)
+{
+    if (m_sent.size() >= internal::mostSentRecords)
+        m_sent.clear();
+    m_sent.emplace(recordId, now);
+    m_lastSent = recordId;
+    m_lastSentAt = now;
+    const std::uint32_t slotCount = m_fold.slots.empty() ? m_terms.slotCount : static_cast<std::uint32_t>(m_fold.slots.size());
+    return SlotRecord { recordId, kind, m_terms.host, m_terms.holder, slotCount, m_terms.lease, m_readFrom, std::move(slots) };
+}
+
+std::optional<SlotRecord> SlotClaims::nextRecord(const std::vector<HostId>& hosts, const std::string& recordId, MonotonicTime now)
+{
+    if (awaitsRecord(now))
+        return std::nullopt;
+    dropLapsed(now);
+    if (auto due = releases(hosts, now); !due.empty())
+        return make(SlotRecordKind::Release, std::move(due), recordId, now);
+    const std::vector<SlotIndex> own = slotsOf(m_fold, m_terms.holder);
+    if (!m_leaving && renewalDue(own, now))
+        return make(SlotRecordKind::Renew, basesOf(own), recordId, now);
+    if (auto wanted = claims(hosts, now); !wanted.empty())
+        return make(SlotRecordKind::Claim, std::move(wanted), recordId, now);
+    return std::nullopt;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/SlotKeeper.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "SlotClaims.h"
+
+#include <lacewingsail/Observe.h>
+#include <lacewingsail/Platform.h>
+#include <lacewingsail/World.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace lacewingsail {
+
+/// \brief Name of the stream that holds claims on limit slots.
+constexpr const char* slotStream = "slots";
+
+/// \brief Keeps this host's limit slots: reads the stream `slots` and appends claims, renewals and releases, on a
+/// thread of its own. While the log is away the slots stay until their lease ends. Safe to use from several threads.
+class SlotKeeper {
+public:
+    /// \brief Tells which hosts are listed and not leaving, the own one included.
+    using Hosts = std::function<std::vector<HostId>()>;
+    /// \brief Hears of the slots that may be used, whenever they change; one call at a time.
+    using Listener = std::function<void(const HeldSlots&)>;
+
+    SlotKeeper(std::unique_ptr<LogService>, SlotTerms, const Clock&, Journal&, Hosts, Listener);
+    ~SlotKeeper();
+    SlotKeeper(const SlotKeeper&) = delete;
+    SlotKeeper& operator=(const SlotKeeper&) = delete;
+
+    /// \brief Begins to give every slot back.
+    void giveUpAll();
+
+    /// \returns whether giving up has come to its end: every slot is released, or the log is away.
+    bool gaveUpAll() const { return m_gaveUp; }
+
+    /// \returns who holds which slot, by the records read so far.
+    std::vector<SlotState> slots() const;
+
+    /// \returns the slots that this host may use.
+    HeldSlots held() const;
+
+private:
+    void run();
+    bool readOn();
+    void takeRecord(const LogRecord&);
+    void appendNext();
+    void publish();
+    void checkGivenUp(bool heard);
+
+    const std::unique_ptr<LogService> m_log;
+    const SlotTerms m_terms;
+    const Clock& m_clock;
+    Journal& m_journal;
+    const Hosts m_hosts;
+    const Listener m_listener;
+    mutable std::mutex m_mutex;
+    SlotClaims m_claims;
+    HeldSlots m_published;
+    LogOffset m_position {};
+    bool m_begun = false;
+    bool m_atEnd = false;
+    bool m_givingUp = false;
+    MonotonicTime m_giveUpBy {};
+    std::atomic<bool> m_gaveUp { false };
+    std::atomic<bool> m_stopping { false };
+    std::thread m_thread;
+};
+
+} // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -23,6 +23,14 @@
 struct Link;
 struct RouteTable;
 struct TaskRank;
+struct HeldSlot;
+struct HeldSlots;
+struct Slice;
+struct SliceBucket;
+struct SlotFold;
+struct SlotOutcome;
+struct SlotState;
+struct SlotView;
 struct TokenBucket;
 
 } // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/SlotFold.cpp
@@ -0,0 +1,127 @@
+#include <lacewingsail/Policy.h>
+
+#include <cassert>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // A claim compares and swaps: it names the last record that its author had read about the slot, so that a
+    // renewal that came first defeats it. A slot without a known record counts as free; where other hosts still
+    // know a holder, the claim wins only if that holder's last record had expired from the log by then.
+    bool claimApplies(const SlotState& state, const SlotRecord& claim, const SlotBasis& basis)
+    {
+        if (state.holder.empty())
+            return true;
+        if (basis.lastRecord < 0)
+            return state.lastRecord < claim.readFrom;
+        return basis.lastRecord == state.lastRecord;
+    }
+
+    void hold(SlotState& state, const SlotRecord& record, std::int64_t offset)
+    {
+        state = { record.host, record.holder, offset, record.lease };
+    }
+
+    void claim(SlotFold& fold, const SlotRecord& record, std::int64_t offset, SlotOutcome& outcome)
+    {
+        if (fold.slots.empty())
+            fold.slots.resize(record.slotCount);
+        if (fold.slots.size() != record.slotCount)
+            return;
+        for (const SlotBasis& basis : record.slots) {
+            if (number(basis.slot) >= fold.slots.size())
+                continue;
+            SlotState& state = fold.slots[number(basis.slot)];
+            if (!claimApplies(state, record, basis))
+                continue;
+            if (state.lastRecord < 0)
+                outcome.firstHeld.push_back(basis.slot);
+            hold(state, record, offset);
+            outcome.changed.push_back(basis.slot);
+        }
+    }
+
+    // A late renewal of a lost slot finds another holder there, or nobody, and changes nothing.
+    void renew(SlotFold& fold, const SlotRecord& record, std::int64_t offset, SlotOutcome& outcome)
+    {
+        if (fold.slots.empty())
+            fold.slots.resize(record.slotCount);
+        if (fold.slots.size() != record.slotCount)
+            return;
+        for (const SlotBasis& basis : record.slots) {
+            if (number(basis.slot) >= fold.slots.size())
+                continue;
+            SlotState& state = fold.slots[number(basis.slot)];
+            const bool unknown = state.holder.empty() && state.lastRecord < 0;
+            if (state.holder != record.holder && !unknown)
+                continue;
+            hold(state, record, offset);
+            outcome.changed.push_back(basis.slot);
+        }
+    }
+
+    void free(SlotState& state, std::int64_t offset) { state = { {}, {}, offset, {} }; }
+
+    void release(SlotFold& fold, const SlotRecord& record, std::int64_t offset, SlotOutcome& outcome)
+    {
+        for (const SlotBasis& basis : record.slots) {
+            if (number(basis.slot) >= fold.slots.size())
+                continue;
+            SlotState& state = fold.slots[number(basis.slot)];
+            if (state.holder != record.holder)
+                continue;
+            free(state, offset);
+            outcome.changed.push_back(basis.slot);
+        }
+    }
+
+    // A fence compares and swaps too: a renewal that came after the operator looked shows that the host lives.
+    void fence(SlotFold& fold, const SlotRecord& record, std::int64_t offset, SlotOutcome& outcome)
+    {
+        for (const SlotBasis& basis : record.slots) {
+            if (number(basis.slot) >= fold.slots.size())
+                continue;
+            SlotState& state = fold.slots[number(basis.slot)];
+            if (state.host != record.host || state.lastRecord != basis.lastRecord)
+                continue;
+            free(state, offset);
+            outcome.changed.push_back(basis.slot);
+        }
+    }
+
+} // namespace internal
+
+SlotOutcome apply(SlotFold& fold, const SlotRecord& record, std::int64_t offset)
+{
+    assert(record.kind == SlotRecordKind::Fence || !record.holder.empty());
+    SlotOutcome outcome;
+    switch (record.kind) {
+    case SlotRecordKind::Claim:
+        internal::claim(fold, record, offset, outcome);
+        break;
+    case SlotRecordKind::Renew:
+        internal::renew(fold, record, offset, outcome);
+        break;
+    case SlotRecordKind::Release:
+        internal::release(fold, record, offset, outcome);
+        break;
+    case SlotRecordKind::Fence:
+        internal::fence(fold, record, offset, outcome);
+        break;
+    }
+    return outcome;
+}
+
+std::vector<SlotIndex> slotsOf(const SlotFold& fold, const IncarnationId& holder)
+{
+    assert(!holder.empty());
+    std::vector<SlotIndex> result;
+    for (std::uint32_t index = 0; index < fold.slots.size(); ++index) {
+        if (fold.slots[index].holder == holder)
+            result.push_back(SlotIndex { index });
+    }
+    return result;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/SlotLease.cpp
@@ -0,0 +1,81 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cassert>
+#include <string>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    std::vector<SlotBasis> withBasis(const SlotFold& fold, const std::vector<SlotIndex>& slots)
+    {
+        std::vector<SlotBasis> result;
+        for (const SlotIndex slot : slots)
+            result.push_back({ slot, fold.slots[number(slot)].lastRecord });
+        return result;
+    }
+
+    std::size_t evenShare(const SlotView& view)
+    {
+        return (view.fold.slots.size() + view.hosts.size() - 1) / view.hosts.size();
+    }
+
+} // namespace internal
+
+// Another host waits from when it read the record, which is after the holder sent it; the holder counts the same
+// lease from before it sent it. So the holder has stopped before anybody else may begin, without a shared clock.
+MonotonicTime claimableFrom(const SlotState& state, const SlotSight& sight, bool complete, MonotonicTime readSince, std::chrono::milliseconds ownLease)
+{
+    if (!state.holder.empty())
+        return sight.lastRecordReadAt + state.lease;
+    if (state.lastRecord >= 0)
+        return sight.lastRecordReadAt;
+    return complete ? readSince : readSince + ownLease;
+}
+
+const HostId& preferredHost(SlotIndex slot, std::span<const HostId> hosts)
+{
+    assert(!hosts.empty());
+    const std::string name = std::to_string(number(slot));
+    return *std::ranges::max_element(hosts, {}, [&](const HostId& host) { return rendezvousWeight(name, host.value()); });
+}
+
+std::vector<SlotBasis> claimsToMake(const SlotView& view, Duration patience, MonotonicTime now)
+{
+    assert(view.sights.size() == view.fold.slots.size());
+    std::vector<SlotBasis> claims;
+    if (view.hosts.empty())
+        return claims;
+    const std::size_t held = slotsOf(view.fold, view.holder).size();
+    for (std::uint32_t index = 0; index < view.fold.slots.size(); ++index) {
+        const SlotState& state = view.fold.slots[index];
+        if (state.holder == view.holder)
+            continue;
+        const bool preferred = preferredHost(SlotIndex { index }, view.hosts) == view.self;
+        // What another host should have is taken only up to the even share, so that it is not released again at once.
+        if (!preferred && held + claims.size() >= internal::evenShare(view))
+            continue;
+        const MonotonicTime from = claimableFrom(state, view.sights[index], view.complete, view.readSince, view.ownLease);
+        if (now >= from + (preferred ? Duration::zero() : patience))
+            claims.push_back({ SlotIndex { index }, state.lastRecord });
+    }
+    return claims;
+}
+
+std::vector<SlotBasis> releasesToMake(const SlotView& view)
+{
+    if (view.hosts.empty())
+        return {};
+    const std::vector<SlotIndex> held = slotsOf(view.fold, view.holder);
+    std::vector<SlotIndex> surplus;
+    for (const SlotIndex slot : held) {
+        if (held.size() - surplus.size() <= internal::evenShare(view))
+            break;
+        if (preferredHost(slot, view.hosts) != view.self)
+            surplus.push_back(slot);
+    }
+    return internal::withBasis(view.fold, surplus);
+}
+
+} // namespace lacewingsail
--- a/packages/wire/lacewingsail/Wire.h
+++ b/packages/wire/lacewingsail/Wire.h
@@ -13,3 +13,4 @@
 #include "src/Wire/Problems.h"
 #include "src/Wire/RecordCodec.h"
 #include "src/Wire/SettingsCodec.h"
+#include "src/Wire/SlotCodec.h"
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -2,18 +2,27 @@
 
 #include "JsonReader.h"
 
+#include <algorithm>
+#include <array>
+#include <utility>
+
 namespace lacewingsail {
 
 namespace internal {
 
     constexpr std::int64_t mostThreads = 256;
-    constexpr std::int64_t mostLimitSlots = 4096;
     constexpr std::int64_t largestHeader = 1 << 20;
     constexpr std::int64_t largestBody = 1 << 28;
     constexpr std::int64_t longestTimeoutMilliseconds = 3'600'000;
     constexpr std::int64_t shortestRetentionMilliseconds = 1000;
     constexpr std::int64_t longestRetentionMilliseconds = 366LL * 24 * 3'600'000;
     constexpr std::size_t shortestSecret = 16;
+    constexpr std::int64_t shortestLeaseMilliseconds = 1000;
+    constexpr std::int64_t longestLeaseMilliseconds = 7LL * 24 * 3'600'000;
+    constexpr std::int64_t shortestTermMilliseconds = 50;
+    constexpr std::int64_t longestTermMilliseconds = 60'000;
+    constexpr std::array sharingNames { std::pair { "pooled", LimitSharing::Pooled }, std::pair { "slots", LimitSharing::Slots },
+        std::pair { "even-split", LimitSharing::EvenSplit }, std::pair { "unshared", LimitSharing::Unshared } };
 
     void readEndpoint(JsonReader& reader, std::string_view name, Endpoint& endpoint)
     {
@@ -39,6 +48,24 @@
         return limits;
     }
 
+    void readSharing(JsonReader& reader, SharingSettings& sharing)
+    {
+        const std::string name = reader.text("limit_sharing", "pooled");
+        const auto* known = std::ranges::find(sharingNames, name, [](const auto& entry) { return std::string_view(entry.first); });
+        if (known == sharingNames.end())
+            reader.problem("limit_sharing", "must be one of pooled, slots, even-split, unshared");
+        else
+            sharing.sharing = known->second;
+        sharing.slotLease = std::chrono::milliseconds(reader.integer("slot_lease_ms", shortestLeaseMilliseconds, longestLeaseMilliseconds, sharing.slotLease.count()));
+        sharing.loanTerm = std::chrono::milliseconds(reader.integer("loan_term_ms", shortestTermMilliseconds, longestTermMilliseconds, sharing.loanTerm.count()));
+        sharing.blockTerm = std::chrono::milliseconds(reader.integer("block_term_ms", shortestTermMilliseconds, longestTermMilliseconds, sharing.blockTerm.count()));
+        sharing.admissionWait = std::chrono::milliseconds(reader.integer("admission_wait_ms", 0, longestTermMilliseconds, sharing.admissionWait.count()));
+        if (sharing.blockTerm * 2 > sharing.loanTerm)
+            reader.problem("block_term_ms", "must be at most half of loan_term_ms");
+        if (sharing.loanTerm > sharing.slotLease)
+            reader.problem("loan_term_ms", "must be at most slot_lease_ms");
+    }
+
 } // namespace internal
 
 std::optional<HostSettings> parseSettings(std::string_view json, Problems& problems)
@@ -57,7 +84,8 @@
     internal::readEndpoint(reader, "log", settings.log);
     internal::readEndpoint(reader, "host_list", settings.hostList);
     settings.threads = static_cast<int>(reader.integer("threads", 1, internal::mostThreads, settings.threads));
-    settings.limitSlots = static_cast<int>(reader.integer("limit_slots", 1, internal::mostLimitSlots, settings.limitSlots));
+    settings.limitSlots = static_cast<int>(reader.integer("limit_slots", 1, mostLimitSlots, settings.limitSlots));
+    internal::readSharing(reader, settings.sharing);
     settings.fleetSecret = reader.text("fleet_secret");
     if (!settings.fleetSecret.empty() && settings.fleetSecret.size() < internal::shortestSecret)
         reader.problem("fleet_secret", "must have at least 16 characters");
--- a/packages/world/lacewingsail/World.h
+++ b/packages/world/lacewingsail/World.h
@@ -12,4 +12,5 @@
 #include "src/World/Machines.h"
 #include "src/World/ResultCode.h"
 #include "src/World/Settings.h"
+#include "src/World/SlotRecord.h"
 #include "src/World/Units.h"
--- a/packages/world/lacewingsail/src/World/Settings.h
+++ b/packages/world/lacewingsail/src/World/Settings.h
@@ -16,6 +16,31 @@
     std::chrono::milliseconds idleTimeout { 60'000 };
 };
 
+/// \brief How client accounts' limits are shared among the hosts.
+enum class LimitSharing {
+    /// Slots, whose slices are lent to one pooler an account.
+    Pooled,
+    /// Slots, each host with what it holds itself.
+    Slots,
+    /// Every host has the same fixed share; for comparison.
+    EvenSplit,
+    /// Every host gives the whole limit by itself; for comparison.
+    Unshared,
+};
+
+/// \brief Terms under which hosts hold and lend parts of client accounts' limits.
+struct SharingSettings {
+    LimitSharing sharing = LimitSharing::Pooled;
+    /// How long a slot stays with a holder that no longer renews it.
+    std::chrono::milliseconds slotLease { 14'400'000 };
+    /// How long a slice stays with a pooler that no longer asks for it.
+    std::chrono::milliseconds loanTerm { 2000 };
+    /// How long tokens drawn from a pooler are good.
+    std::chrono::milliseconds blockTerm { 600 };
+    /// How long a request waits for a token at most.
+    std::chrono::milliseconds admissionWait { 100 };
+};
+
 /// \brief What a process of the fleet learns from its settings file.
 struct HostSettings {
     HostId id;
@@ -31,6 +56,7 @@
     int threads = 2;
     /// Parts into which every account's rate and burst are divided; at least the number of hosts.
     int limitSlots = 64;
+    SharingSettings sharing;
     /// Shared secret of operators and hosts; never printed.
     std::string fleetSecret;
     CallerLimits limits;
--- /dev/null
+++ b/tests/SlotClaimsTest.cpp
@@ -0,0 +1,218 @@
+#include <lacewingsail/Limits.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <optional>
+#include <random>
+#include <set>
+
+using namespace lacewingsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds lease { 9000 };
+constexpr std::chrono::milliseconds loanTerm { 500 };
+
+// A host whose clock runs at its own speed, in front of a log that delays and loses appends.
+struct SimulatedHost {
+    SimulatedHost(const std::string& name, double speed, MonotonicTime start)
+        : id(name)
+        , clockSpeed(speed)
+    {
+        restart(start);
+    }
+
+    void restart(MonotonicTime start)
+    {
+        claims.emplace(SlotTerms { id, IncarnationId(id.value() + "/" + std::to_string(runs++)), 6, lease, loanTerm }, start);
+        position = 0;
+    }
+
+    MonotonicTime now(std::chrono::milliseconds world) const
+    {
+        return MonotonicTime {} + std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(static_cast<double>(world.count()) * clockSpeed));
+    }
+
+    HostId id;
+    double clockSpeed;
+    std::optional<SlotClaims> claims;
+    std::size_t position = 0;
+    std::chrono::milliseconds pausedUntil { 0 };
+    int runs = 0;
+};
+
+struct DelayedAppend {
+    std::chrono::milliseconds landsAt;
+    SlotRecord record;
+};
+
+struct SlotClaimsFixture {
+    std::chrono::milliseconds world { 0 };
+    std::vector<SlotRecord> log;
+    std::vector<DelayedAppend> underWay;
+    std::vector<SimulatedHost> hosts;
+    std::vector<HostId> listed;
+    bool logAway = false;
+    int records = 0;
+
+    void addHost(const std::string& name, double speed = 1)
+    {
+        hosts.emplace_back(name, speed, MonotonicTime {});
+        listed.emplace_back(name);
+    }
+
+    void land()
+    {
+        for (const DelayedAppend& append : underWay) {
+            if (append.landsAt <= world)
+                log.push_back(append.record);
+        }
+        std::erase_if(underWay, [this](const DelayedAppend& append) { return append.landsAt <= world; });
+    }
+
+    void step(SimulatedHost& host, std::chrono::milliseconds delay)
+    {
+        if (logAway || world < host.pausedUntil)
+            return;
+        const MonotonicTime now = host.now(world);
+        for (; host.position < log.size(); ++host.position)
+            host.claims->take(log[host.position], static_cast<std::int64_t>(host.position), now);
+        if (auto record = host.claims->nextRecord(listed, std::to_string(records++), now); record && delay >= 0ms)
+            underWay.push_back({ world + delay, std::move(*record) });
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        for (const auto end = world + time; world < end; world += 100ms) {
+            land();
+            for (SimulatedHost& host : hosts)
+                step(host, 0ms);
+        }
+    }
+
+    std::size_t heldBy(const SimulatedHost& host) const { return host.claims->held(host.now(world)).slots.size(); }
+
+    std::size_t heldByAll() const
+    {
+        std::size_t total = 0;
+        for (const SimulatedHost& host : hosts)
+            total += heldBy(host);
+        return total;
+    }
+
+    // At one instant no slot may be used by two.
+    bool exclusive() const
+    {
+        std::set<SlotIndex> used;
+        for (const SimulatedHost& host : hosts) {
+            for (const HeldSlot& held : host.claims->held(host.now(world)).slots) {
+                if (!used.insert(held.slot).second)
+                    return false;
+            }
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, several hosts start, share every slot")
+{
+    addHost("a");
+    addHost("b");
+    addHost("c");
+    runFor(15s);
+    CHECK(heldByAll() == 6);
+    for (const SimulatedHost& host : hosts)
+        CHECK(heldBy(host) >= 1);
+}
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, slot that nobody held, begins full; taken over, begins empty")
+{
+    addHost("a");
+    runFor(5s);
+    for (const HeldSlot& held : hosts[0].claims->held(hosts[0].now(world)).slots)
+        CHECK(held.beganFull);
+    hosts[0].pausedUntil = 1h;
+    hosts.emplace_back("b", 1.0, hosts[0].now(world));
+    listed = { HostId("b") };
+    runFor(lease + 5s);
+    const HeldSlots held = hosts[1].claims->held(hosts[1].now(world));
+    CHECK(held.slots.size() == 6);
+    for (const HeldSlot& each : held.slots)
+        CHECK_FALSE(each.beganFull);
+}
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, holder paused longer than its lease, finds the slots gone")
+{
+    addHost("a");
+    runFor(5s);
+    world += lease + 1ms;
+    CHECK(heldBy(hosts[0]) == 0);
+}
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, log away for less than the lease, keeps the slots")
+{
+    addHost("a");
+    runFor(5s);
+    logAway = true;
+    runFor(5s);
+    CHECK(heldByAll() == 6);
+    logAway = false;
+    runFor(8s);
+    CHECK(heldByAll() == 6);
+}
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, host gives up all, others take over before the lease ends")
+{
+    addHost("a");
+    addHost("b");
+    runFor(10s);
+    hosts[0].claims->giveUpAll(hosts[0].now(world));
+    CHECK(heldBy(hosts[0]) == 0);
+    listed = { HostId("b") };
+    runFor(5s);
+    CHECK(hosts[0].claims->holdsNone());
+    CHECK(heldBy(hosts[1]) == 6);
+}
+
+TEST_CASE_FIXTURE(SlotClaimsFixture, "claims, host gives up all, waits out its loans before the release")
+{
+    addHost("a");
+    runFor(5s);
+    hosts[0].claims->giveUpAll(hosts[0].now(world));
+    runFor(loanTerm - 100ms);
+    CHECK_FALSE(hosts[0].claims->holdsNone());
+    runFor(1s);
+    CHECK(hosts[0].claims->holdsNone());
+}
+
+TEST_CASE("claims, random pauses, restarts, delays, losses, outages and drift, never let two hosts use a slot")
+{
+    CHECK(rc::check("exclusive use", [] {
+        SlotClaimsFixture fleet;
+        fleet.addHost("a", 1.01);
+        fleet.addHost("b", 1.0);
+        fleet.addHost("c", 0.992);
+        std::minstd_rand random(*rc::gen::inRange(1, 1'000'000));
+        const auto chance = [&](unsigned parts) { return random() % parts == 0; };
+        for (int step = 0; step < 6000; ++step) {
+            fleet.world += std::chrono::milliseconds(1 + random() % 40);
+            if (chance(600))
+                fleet.logAway = !fleet.logAway;
+            fleet.land();
+            for (SimulatedHost& host : fleet.hosts) {
+                if (chance(400))
+                    host.pausedUntil = fleet.world + std::chrono::milliseconds(random() % 25000);
+                if (chance(2000))
+                    host.restart(host.now(fleet.world));
+                const bool lost = chance(6);
+                const bool slow = chance(6);
+                fleet.step(host, lost ? -1ms : std::chrono::milliseconds(slow ? random() % 15000 : random() % 20));
+                RC_ASSERT(fleet.exclusive());
+            }
+        }
+    }));
+}
