Pooled slices: limits held through slots, lent to one pooler an account, drawn in blocks

Cause: slots alone refuse wrongly whenever an account's callers are not where its slices are.

A host uses the slice that its slots carry itself until the account's pooler (rendezvous over the hosts that are heard) borrows it for a term. The lender promises from receipt; the pooler counts from before it asked, less one part in 50; a lapsed slice comes back empty. Hosts draw blocks, sized by the requests that wait and by recent demand; only loans that outlast a block stand behind it, and tokens that are out count against the burst. Requests wait for a token without blocking a thread. Calls are asynchronous, batched by peer and counted in bytes by type. A planned stop gives the slots back before it exits. EvenSplit stays as the baselines even-split and unshared of the setting limit_sharing.

Ruled out: returning a lapsed loan's tokens (the pooler may just have spent them); counting what a block's drawer has not reported as unspent.

Shown: models/loans.pml holds in three forms (4,429, 30,038 and 66,106 states) and its six mutants fail. Its first form failed when a renewal came in before the pooler had seen to the lapse of the old loan; the program always sees to lapses first, and the model now does.

Conclusion: the whole path admits through slots and pools.

--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -55,9 +55,11 @@
     std::atomic<bool> configurationCaughtUp { false };
     std::atomic<MonotonicTime> configurationHeardAt { MonotonicTime {} };
     internal::CountedEvidence evidence { metrics };
-    EvenSplit admission { settings.limitSlots, clock };
     PeerChannels channels;
     std::unique_ptr<FleetMembership> membership;
+    std::unique_ptr<Admission> admission;
+    /// Null if limits are not shared through slots.
+    PooledAdmission* pooledAdmission = nullptr;
     std::unique_ptr<ConfigurationPeers> configurationPeers;
     std::unique_ptr<LogFollower> configurationFollower;
     std::unique_ptr<LogFollower> withdrawalFollower;
@@ -67,6 +69,7 @@
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<ProxyServer> proxy;
 
+    void startAdmission();
     void startFollowers();
     void startListeners(std::error_code&);
     LogFollowerCallbacks configurationCallbacks();
@@ -108,11 +111,33 @@
     return callbacks;
 }
 
+void EntryHost::Implementation::startAdmission()
+{
+    switch (settings.sharing.sharing) {
+    case LimitSharing::EvenSplit:
+        admission = std::make_unique<EvenSplit>(settings.limitSlots, clock);
+        return;
+    case LimitSharing::Unshared:
+        admission = std::make_unique<EvenSplit>(1, clock);
+        return;
+    case LimitSharing::Pooled:
+    case LimitSharing::Slots:
+        break;
+    }
+    auto pooled = std::make_unique<PooledAdmission>(PooledAdmissionParts { settings, clock, *membership, channels, metrics, journal });
+    pooledAdmission = pooled.get();
+    admission = std::move(pooled);
+}
+
 void EntryHost::Implementation::startFollowers()
 {
     membership = std::make_unique<FleetMembership>(settings.id, std::make_unique<HttpHostList>(settings.hostList, settings.id), clock);
     configurationPeers = std::make_unique<ConfigurationPeers>(ConfigurationPeersParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, channels, metrics, [this] { return configurationHeardAt.load(); } });
+    startAdmission();
     configuration.listen([this](const ConfigurationRecord& record, ConfigurationVersion version, std::shared_ptr<const WithdrawnKeys> withdrawn) {
+        // Before any request can see a new account.
+        if (pooledAdmission && record.configuration)
+            pooledAdmission->configure(*record.configuration);
         publisher.update(record, version, std::move(withdrawn));
         configurationPeers->spreadNews();
     });
@@ -121,18 +146,23 @@
     configurationPeers->start();
     logKeeper = std::make_unique<LogKeeper>(LogKeeperParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, journal }, std::make_unique<HttpLogService>(settings.log));
     operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining });
+    if (pooledAdmission)
+        operatorApi->showSlots([this] { return SlotsInUse { pooledAdmission->incarnation(), pooledAdmission->held(), pooledAdmission->slots() }; });
 }
 
 void EntryHost::Implementation::startListeners(std::error_code& error)
 {
-    peerServer = std::make_unique<PeerServer>(settings.peers, std::vector<grpc::Service*> { &configurationPeers->service() }, error);
+    std::vector<grpc::Service*> services { &configurationPeers->service() };
+    if (pooledAdmission)
+        services.push_back(&pooledAdmission->service());
+    peerServer = std::make_unique<PeerServer>(settings.peers, services, error);
     if (error)
         return;
     operatorServer = std::make_unique<HttpServer>(
         settings.operators, internal::operatorThreads, [this](const HttpRequest& request) { return operatorApi->answer(request); }, error);
     if (error)
         return;
-    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal }, error);
+    proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, *admission, evidence, metrics, journal }, error);
 }
 
 EntryHost::EntryHost(HostSettings settings, std::error_code& error)
@@ -152,11 +182,15 @@
     m_implementation->draining = true;
     m_implementation->configurationPeers->announceLeaving();
     m_implementation->proxy->drain();
+    if (m_implementation->pooledAdmission)
+        m_implementation->pooledAdmission->giveUpSlots();
 }
 
 bool EntryHost::drained() const
 {
-    return m_implementation->draining && m_implementation->proxy->openConnections() == 0;
+    const PooledAdmission* pooled = m_implementation->pooledAdmission;
+    const bool slotsReturned = !pooled || pooled->gaveUpSlots();
+    return m_implementation->draining && slotsReturned && m_implementation->proxy->openConnections() == 0;
 }
 
 } // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -68,6 +68,17 @@
         return links;
     }
 
+    json::object slotsOf(const SlotsInUse& inUse)
+    {
+        json::array held;
+        for (const HeldSlot& slot : inUse.held.slots)
+            held.emplace_back(number(slot.slot));
+        json::array holders;
+        for (const SlotState& state : inUse.slots)
+            holders.emplace_back(json::object { { "host", state.host.value() }, { "incarnation", state.holder.value() }, { "last", state.lastRecord } });
+        return { { "incarnation", inUse.incarnation.value() }, { "held", std::move(held) }, { "holders", std::move(holders) } };
+    }
+
 } // namespace internal
 
 OperatorApi::OperatorApi(const OperatorView& view)
@@ -125,6 +136,8 @@
     status["draining"] = m_view.draining.load();
     status["links"] = internal::linksOf(m_view.membership);
     status["services"] = internal::servicesOf(*snapshot);
+    if (m_slots)
+        status["limit_slots"] = internal::slotsOf(m_slots());
     return internal::asJson(200, status);
 }
 
--- a/packages/host/lacewingsail/src/Host/OperatorApi.h
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.h
@@ -8,6 +8,9 @@
 #include <lacewingsail/World.h>
 
 #include <atomic>
+#include <functional>
+#include <utility>
+#include <vector>
 
 namespace lacewingsail {
 
@@ -23,11 +26,23 @@
     const std::atomic<bool>& draining;
 };
 
+/// \brief The limit slots as a host sees them.
+struct SlotsInUse {
+    IncarnationId incarnation;
+    /// Those that this host may use.
+    HeldSlots held;
+    /// Who holds which, by the records of the log read so far.
+    std::vector<SlotState> slots;
+};
+
 /// \brief Answers the operators' requests: health, readiness and metrics to anyone, the rest with the fleet secret.
 class OperatorApi {
 public:
     explicit OperatorApi(const OperatorView&);
 
+    /// \brief Sets where the slots come from; to be called before any request is answered.
+    void showSlots(std::function<SlotsInUse()> slots) { m_slots = std::move(slots); }
+
     HttpResponse answer(const HttpRequest&) const;
 
 private:
@@ -41,6 +56,7 @@
     bool isOperator(const HttpRequest&) const;
 
     const OperatorView m_view;
+    std::function<SlotsInUse()> m_slots;
 };
 
 } // namespace lacewingsail
--- a/packages/limits/lacewingsail/Limits.h
+++ b/packages/limits/lacewingsail/Limits.h
@@ -9,6 +9,9 @@
 
 #include "src/Limits/ForwardDeclarations.h"
 
+#include "src/Limits/AccountLedger.h"
 #include "src/Limits/EvenSplit.h"
+#include "src/Limits/LimitLedgers.h"
+#include "src/Limits/PooledAdmission.h"
 #include "src/Limits/SlotClaims.h"
 #include "src/Limits/SlotKeeper.h"
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/LimitCalls.cpp
@@ -0,0 +1,136 @@
+#include <lacewingsail/Limits.h>
+
+#include "LimitCalls.h"
+#include "LimitMessages.h"
+#include "LimitService.h"
+
+#include <lacewingsail/PeerCalls.h>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::chrono::milliseconds drawTimeout { 250 };
+    constexpr std::chrono::milliseconds loanTimeout { 500 };
+    /// How long a host that did not answer is not chosen as a pooler.
+    constexpr std::chrono::milliseconds unheardTime { 1000 };
+
+} // namespace
+
+struct LimitCalls::DrawCall {
+    std::unique_ptr<protocol::Limits::Stub> stub;
+    grpc::ClientContext context;
+    protocol::DrawRequest request;
+    protocol::DrawReply reply;
+    std::vector<DrawWish> wishes;
+};
+
+struct LimitCalls::LoanCall {
+    std::unique_ptr<protocol::Limits::Stub> stub;
+    grpc::ClientContext context;
+    protocol::LoanRequest request;
+    protocol::LoanReply reply;
+};
+
+LimitCalls::LimitCalls(const HostId& self, const IncarnationId& incarnation, const std::string& fleetSecret, LimitLedgers& ledgers, PeerChannels& channels, Metrics& metrics, const Clock& clock)
+    : m_self(self)
+    , m_incarnation(incarnation)
+    , m_fleetSecret(fleetSecret)
+    , m_ledgers(ledgers)
+    , m_channels(channels)
+    , m_metrics(metrics)
+    , m_clock(clock)
+{
+}
+
+LimitCalls::~LimitCalls()
+{
+    std::unique_lock lock(m_mutex);
+    m_ended.wait(lock, [this] { return m_underWay == 0; });
+}
+
+void LimitCalls::begin()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_underWay;
+}
+
+void LimitCalls::end()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_underWay;
+    m_ended.notify_all();
+}
+
+void LimitCalls::noteHeard(const HostId& host, bool heard)
+{
+    const std::lock_guard lock(m_mutex);
+    if (heard)
+        m_unheardUntil.erase(host);
+    else
+        m_unheardUntil[host] = m_clock.now() + unheardTime;
+}
+
+bool LimitCalls::isHeard(const HostId& host) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_unheardUntil.find(host);
+    return found == m_unheardUntil.end() || m_clock.now() >= found->second;
+}
+
+bool LimitCalls::beginLoan(const HostId& lender)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_borrowing.insert(lender).second)
+        return false;
+    ++m_underWay;
+    return true;
+}
+
+void LimitCalls::endLoan(const HostId& lender)
+{
+    const std::lock_guard lock(m_mutex);
+    m_borrowing.erase(lender);
+    --m_underWay;
+    m_ended.notify_all();
+}
+
+void LimitCalls::draw(const Host& pooler, std::vector<DrawWish> wishes)
+{
+    begin();
+    auto call = std::make_shared<DrawCall>();
+    call->stub = protocol::Limits::NewStub(m_channels.to(pooler.peers));
+    prepareCall(call->context, m_fleetSecret, drawTimeout);
+    call->request = drawRequest(m_self, m_incarnation, wishes);
+    call->wishes = std::move(wishes);
+    countBytes(m_metrics, "draw-request-sent", call->request.ByteSizeLong());
+    const MonotonicTime askedAt = m_clock.now();
+    call->stub->async()->Draw(&call->context, &call->request, &call->reply, [this, call, askedAt, host = pooler.id](const grpc::Status& status) {
+        noteHeard(host, status.ok());
+        if (status.ok())
+            m_ledgers.takeGrants(host, call->wishes, grantsOf(call->request, call->reply), askedAt);
+        else
+            m_ledgers.failDraw(call->wishes);
+        end();
+    });
+}
+
+void LimitCalls::borrow(const Host& lender, const std::vector<ClientAccountId>& accounts)
+{
+    if (!beginLoan(lender.id))
+        return;
+    auto call = std::make_shared<LoanCall>();
+    call->stub = protocol::Limits::NewStub(m_channels.to(lender.peers));
+    prepareCall(call->context, m_fleetSecret, loanTimeout);
+    call->request = loanRequest(m_self, m_incarnation, accounts);
+    countBytes(m_metrics, "loan-request-sent", call->request.ByteSizeLong());
+    // The clock is read before the request leaves: the lender counts the same term from when it comes in.
+    const MonotonicTime askedAt = m_clock.now();
+    call->stub->async()->Lend(&call->context, &call->request, &call->reply, [this, call, askedAt, host = lender.id](const grpc::Status& status) {
+        if (status.ok())
+            m_ledgers.takeLoans(host, offersOf(call->request, call->reply), askedAt);
+        endLoan(host);
+    });
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgers.cpp
@@ -0,0 +1,210 @@
+#include <lacewingsail/Limits.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    /// How long a pool is kept after the last draw.
+    constexpr std::chrono::seconds poolIdleTime { 10 };
+    constexpr std::size_t mostWaiters = 1024;
+    /// Time before a request's deadline at which it is refused rather than left waiting.
+    constexpr std::chrono::milliseconds answerAhead { 5 };
+
+} // namespace internal
+
+LimitLedgers::LimitLedgers(HostId self, IncarnationId incarnation, const SharingSettings& settings, const Clock& clock, Wake wake)
+    : m_self(std::move(self))
+    , m_incarnation(std::move(incarnation))
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_wake(std::move(wake))
+    , m_limits(std::make_shared<const LimitTable>())
+    , m_held(std::make_shared<const HeldSlots>())
+    , m_poolers { m_self }
+{
+}
+
+void LimitLedgers::configure(const Configuration& configuration)
+{
+    auto limits = std::make_shared<LimitTable>();
+    for (const ClientAccount& account : configuration.accounts)
+        limits->emplace(account.id, ClientAccount { account.id, account.rate, account.burst, {} });
+    m_limits = std::move(limits);
+}
+
+void LimitLedgers::hold(const HeldSlots& held) { m_held = std::make_shared<const HeldSlots>(held); }
+
+void LimitLedgers::setPoolers(std::vector<HostId> poolers)
+{
+    assert(!poolers.empty());
+    const std::lock_guard lock(m_mutex);
+    m_poolers = std::move(poolers);
+}
+
+LimitLedgers::Shard& LimitLedgers::shardOf(const ClientAccountId& account) { return m_shards[stableHash(account.value()) % shardCount]; }
+
+// Null if the account is unknown. The slice of what is found is settled.
+AccountLedger* LimitLedgers::find(Shard& shard, const ClientAccountId& account, MonotonicTime now)
+{
+    const auto limits = m_limits.load();
+    const auto limit = limits->find(account);
+    if (limit == limits->end())
+        return nullptr;
+    const auto held = m_held.load();
+    AccountLedger& ledger = shard.ledgers[account];
+    settle(ledger.own, limit->second, *held, now);
+    return &ledger;
+}
+
+// An account that has been removed from the configuration has no rate and no burst.
+AccountLedger& LimitLedgers::findOrMake(Shard& shard, const ClientAccountId& account, MonotonicTime now)
+{
+    if (AccountLedger* known = find(shard, account, now))
+        return *known;
+    AccountLedger& ledger = shard.ledgers[account];
+    settle(ledger.own, ClientAccount { account, {}, {}, {} }, *m_held.load(), now);
+    return ledger;
+}
+
+void LimitLedgers::markBusy(const ClientAccountId& account)
+{
+    const std::lock_guard lock(m_mutex);
+    m_busy.insert(account);
+    m_busyCount = m_busy.size();
+}
+
+void LimitLedgers::unmarkIfIdle(const AccountLedger& ledger, const ClientAccountId& account)
+{
+    if (!ledger.waiters.empty() || !ledger.blocks.empty() || !ledger.closed.empty() || ledger.drawing)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_busy.erase(account);
+    m_busyCount = m_busy.size();
+}
+
+std::vector<ClientAccountId> LimitLedgers::busyAccounts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return { m_busy.begin(), m_busy.end() };
+}
+
+HostId LimitLedgers::poolerOf(const ClientAccountId& account) const
+{
+    const std::lock_guard lock(m_mutex);
+    return *std::ranges::max_element(m_poolers, {}, [&](const HostId& host) { return rendezvousWeight(account.value(), host.value()); });
+}
+
+void LimitLedgers::admit(const ClientAccountId& account, MonotonicTime deadline, Admission::Answer answer)
+{
+    ResultCode code = ResultCode::RateExceeded;
+    bool waits = false;
+    {
+        Shard& shard = shardOf(account);
+        const std::lock_guard lock(shard.mutex);
+        // The clock is read under the lock: a host that was paused before finds its lease and its blocks gone.
+        const MonotonicTime now = m_clock.now();
+        AccountLedger* ledger = find(shard, account, now);
+        if (ledger) {
+            countDemand(ledger->demand, now);
+            const MonotonicTime giveUpAt = std::min(deadline - internal::answerAhead, now + m_settings.admissionWait);
+            const bool mayWait = m_settings.sharing == LimitSharing::Pooled && now < giveUpAt && ledger->waiters.size() < internal::mostWaiters;
+            if (ledger->waiters.empty() && takeToken(*ledger, now)) {
+                code = ResultCode::Ok;
+            } else if (mayWait) {
+                ledger->waiters.push_back({ giveUpAt, std::move(answer) });
+                waits = true;
+                markBusy(account);
+            }
+        }
+    }
+    if (waits)
+        m_wake();
+    else
+        answer(code);
+}
+
+std::vector<LoanOffer> LimitLedgers::lendTo(const IncarnationId& borrower, std::span<const ClientAccountId> accounts)
+{
+    std::vector<LoanOffer> offers;
+    for (const ClientAccountId& account : accounts) {
+        Shard& shard = shardOf(account);
+        const std::lock_guard lock(shard.mutex);
+        const MonotonicTime now = m_clock.now();
+        AccountLedger* ledger = find(shard, account, now);
+        if (!ledger)
+            continue;
+        if (const auto loan = lend(ledger->own, borrower, m_settings.loanTerm, now))
+            offers.push_back({ account, *loan });
+    }
+    return offers;
+}
+
+// Block ids of two runs of a host must not meet: a block of an earlier run is not known to a later one.
+Pool& LimitLedgers::poolOf(AccountLedger& ledger)
+{
+    if (!ledger.pool) {
+        ledger.pool.emplace();
+        ledger.pool->nextBlock = stableHash(m_incarnation.value());
+    }
+    return *ledger.pool;
+}
+
+std::vector<BlockGrant> LimitLedgers::draw(std::span<const DrawWish> wanted)
+{
+    std::vector<BlockGrant> grants;
+    for (const DrawWish& wish : wanted) {
+        Shard& shard = shardOf(wish.account);
+        const std::lock_guard lock(shard.mutex);
+        const MonotonicTime now = m_clock.now();
+        AccountLedger* ledger = find(shard, wish.account, now);
+        if (!ledger)
+            continue;
+        Pool& pool = poolOf(*ledger);
+        for (const ClosedBlock& closed : wish.closed)
+            closeBlock(pool, closed.id, closed.unspent, now);
+        if (wish.demand.waiting == 0)
+            continue;
+        ledger->drawnAt = now;
+        if (const auto block = drawBlock(pool, wish.demand, m_settings.blockTerm, now))
+            grants.push_back({ wish.account, block->id, block->tokens, m_settings.blockTerm });
+        const std::lock_guard pooledLock(m_mutex);
+        m_newPool = m_pooled.insert(wish.account).second || m_newPool;
+    }
+    return grants;
+}
+
+std::vector<ClientAccountId> LimitLedgers::pooledAccounts(bool& isNew)
+{
+    std::vector<ClientAccountId> accounts;
+    {
+        const std::lock_guard lock(m_mutex);
+        accounts.assign(m_pooled.begin(), m_pooled.end());
+        isNew = std::exchange(m_newPool, false);
+    }
+    std::erase_if(accounts, [this](const ClientAccountId& account) {
+        Shard& shard = shardOf(account);
+        const std::lock_guard lock(shard.mutex);
+        if (m_clock.now() < shard.ledgers[account].drawnAt + internal::poolIdleTime)
+            return false;
+        const std::lock_guard pooledLock(m_mutex);
+        m_pooled.erase(account);
+        return true;
+    });
+    return accounts;
+}
+
+void LimitLedgers::takeLoans(const HostId& lender, std::span<const LoanOffer> offers, MonotonicTime askedAt)
+{
+    for (const LoanOffer& offer : offers) {
+        Shard& shard = shardOf(offer.account);
+        const std::lock_guard lock(shard.mutex);
+        const MonotonicTime now = m_clock.now();
+        if (AccountLedger* ledger = find(shard, offer.account, now))
+            addLoan(poolOf(*ledger), { lender, offer.loan.slice, endOfUse(askedAt, offer.loan.term) }, offer.loan.level, now);
+    }
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/limits/lacewingsail/src/Limits/LimitMessages.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LimitLedgers.h"
+
+#include <lacewingsail/limits.pb.h>
+
+#include <span>
+#include <vector>
+
+namespace lacewingsail::internal {
+
+/// \brief Each turns what the ledgers say into a message, or a message into what the ledgers take. Entries of a
+/// reply that do not fit the request are left out.
+protocol::LoanRequest loanRequest(const HostId& pooler, const IncarnationId&, std::span<const ClientAccountId> accounts);
+std::vector<ClientAccountId> accountsOf(const protocol::LoanRequest&);
+protocol::LoanReply loanReply(const protocol::LoanRequest&, std::span<const LoanOffer>);
+std::vector<LoanOffer> offersOf(const protocol::LoanRequest&, const protocol::LoanReply&);
+
+protocol::DrawRequest drawRequest(const HostId& host, const IncarnationId&, std::span<const DrawWish>);
+std::vector<DrawWish> wishesOf(const protocol::DrawRequest&);
+protocol::DrawReply drawReply(const protocol::DrawRequest&, std::span<const BlockGrant>);
+std::vector<BlockGrant> grantsOf(const protocol::DrawRequest&, const protocol::DrawReply&);
+
+} // namespace lacewingsail::internal
--- a/packages/limits/lacewingsail/src/Limits/SlotKeeper.cpp
+++ b/packages/limits/lacewingsail/src/Limits/SlotKeeper.cpp
@@ -14,21 +14,6 @@
     /// How long a planned stop waits for the log to take the releases, on top of the loans' term.
     constexpr std::chrono::seconds releasePatience { 5 };
 
-    const char* nameOf(SlotRecordKind kind)
-    {
-        switch (kind) {
-        case SlotRecordKind::Claim:
-            return "claim";
-        case SlotRecordKind::Renew:
-            return "renew";
-        case SlotRecordKind::Release:
-            return "release";
-        case SlotRecordKind::Fence:
-            return "fence";
-        }
-        return "";
-    }
-
     bool sameSlots(const HeldSlots& left, const HeldSlots& right)
     {
         return left.slots == right.slots && left.until == right.until;
@@ -119,7 +104,7 @@
     if (parsed->kind == SlotRecordKind::Renew && !outcome.changed.empty())
         return;
     Event event("slot-record");
-    event.with("kind", internal::nameOf(parsed->kind)).with("host", parsed->host).with("holder", parsed->holder);
+    event.with("kind", nameOf(parsed->kind)).with("host", parsed->host).with("holder", parsed->holder);
     event.with("slots", static_cast<long long>(parsed->slots.size())).with("changed", static_cast<long long>(outcome.changed.size()));
     m_journal.record(event);
 }
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -18,6 +18,8 @@
 #include "src/Policy/Keys.h"
 #include "src/Policy/Links.h"
 #include "src/Policy/LogUpkeep.h"
+#include "src/Policy/OwnSlice.h"
+#include "src/Policy/Pool.h"
 #include "src/Policy/Routing.h"
 #include "src/Policy/Slice.h"
 #include "src/Policy/SliceBucket.h"
--- a/packages/wire/lacewingsail/src/Wire/SlotCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SlotCodec.cpp
@@ -18,11 +18,6 @@
     constexpr std::array kindNames { std::pair { "claim", SlotRecordKind::Claim }, std::pair { "renew", SlotRecordKind::Renew },
         std::pair { "release", SlotRecordKind::Release }, std::pair { "fence", SlotRecordKind::Fence } };
 
-    const char* nameOf(SlotRecordKind kind)
-    {
-        return std::ranges::find(kindNames, kind, &std::pair<const char*, SlotRecordKind>::second)->first;
-    }
-
     void readKind(JsonReader& reader, SlotRecordKind& kind)
     {
         const std::string name = reader.text("kind");
@@ -45,12 +40,17 @@
 
 } // namespace internal
 
+const char* nameOf(SlotRecordKind kind)
+{
+    return std::ranges::find(internal::kindNames, kind, &std::pair<const char*, SlotRecordKind>::second)->first;
+}
+
 std::string formatSlotRecord(const SlotRecord& record)
 {
     json::array slots;
     for (const SlotBasis& basis : record.slots)
         slots.emplace_back(json::object { { "slot", number(basis.slot) }, { "last", basis.lastRecord } });
-    json::object object { { "id", record.id }, { "kind", internal::nameOf(record.kind) }, { "host", record.host.value() }, { "slots", std::move(slots) } };
+    json::object object { { "id", record.id }, { "kind", nameOf(record.kind) }, { "host", record.host.value() }, { "slots", std::move(slots) } };
     if (record.kind != SlotRecordKind::Fence) {
         object["holder"] = record.holder.value();
         object["slot_count"] = record.slotCount;
--- a/packages/wire/lacewingsail/src/Wire/SlotCodec.h
+++ b/packages/wire/lacewingsail/src/Wire/SlotCodec.h
@@ -13,6 +13,9 @@
 /// \brief The most slots into which limits may be divided.
 constexpr std::uint32_t mostLimitSlots = 4096;
 
+/// \returns the name of the kind in a record, as in "claim".
+const char* nameOf(SlotRecordKind);
+
 std::string formatSlotRecord(const SlotRecord&);
 
 /// \brief Reads a record of the stream `slots`.
--- a/programs/lacewingctl/Commands.cpp
+++ b/programs/lacewingctl/Commands.cpp
@@ -19,6 +19,7 @@
         Command { "explain", "TEXT", "show what hosts noted about a request, backend server, account or key", "", runExplain },
         Command { "watch", "", "print events of all hosts as they come", "", runWatch },
         Command { "drain", "HOST", "begin the planned stop of a host", "", runDrain },
+        Command { "fence", "HOST", "free the limit slots of a host whose process has ended", "stopped", runFence },
     };
 
 } // namespace
--- a/programs/lacewingctl/Options.cpp
+++ b/programs/lacewingctl/Options.cpp
@@ -26,6 +26,7 @@
         OptionDescription { "account", 'A', "NAME", "client account", false },
         OptionDescription { "replaces", 'r', "N", "version that the file is based on; by default the one in force", false },
         OptionDescription { "no-wait", 'n', nullptr, "do not wait until the change is in force on every host", false },
+        OptionDescription { "stopped", 's', nullptr, "state that the process has ended although its machine is silent", false },
     };
 
     // What popt writes into: one entry for each description.
