--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -30,8 +30,22 @@
 struct KeyTable;
 struct Link;
 struct RecordedAnswer;
+struct DrawDemand;
+struct Loan;
+struct OwnSlice;
+struct Pool;
+struct PoolBlock;
+struct PoolLoan;
 struct RouteTable;
 struct TaskRank;
+struct HeldSlot;
+struct HeldSlots;
+struct Slice;
+struct SliceBucket;
+struct SlotFold;
+struct SlotOutcome;
+struct SlotState;
+struct SlotView;
 struct TokenBucket;
 
 } // namespace lacewingsail
