--- /dev/null
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
@@ -0,0 +1,376 @@
+#include <lacewingsail/Detection.h>
+
+#include <algorithm>
+#include <set>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::chrono::seconds consecutiveWindow { 30 };
+    constexpr std::chrono::seconds digestLifetime { 10 };
+    constexpr std::size_t announcersThatCount = 2;
+    constexpr double recentAttempts = 0.3;
+    constexpr double worthTelling = 0.2;
+    constexpr std::size_t mostToldServers = 64;
+
+    bool isFresh(const PeerDigest& digest, MonotonicTime now) { return now - digest.heardAt < digestLifetime; }
+
+    bool contains(const std::vector<ServerHash>& list, ServerHash server) { return std::find(list.begin(), list.end(), server) != list.end(); }
+
+    bool failsMostly(const EvidenceCounts& counts) { return counts.attempts >= recentAttempts && counts.bad * 2 >= counts.attempts; }
+
+    EvidenceCounts faded(EvidenceCounts counts, MonotonicTime now)
+    {
+        fade(counts, now);
+        return counts;
+    }
+
+    template <typename Key>
+    EvidenceCounts countsIn(const std::map<Key, EvidenceCounts>& table, Key key, MonotonicTime now)
+    {
+        const auto found = table.find(key);
+        return found == table.end() ? EvidenceCounts {} : faded(found->second, now);
+    }
+
+} // namespace internal
+
+DetectionState::DetectionState(const HostSettings& settings, const Clock& clock, Journal& journal)
+    : m_settings(settings)
+    , m_clock(clock)
+    , m_journal(journal)
+{
+}
+
+void DetectionState::take(const AttemptEvidence& evidence)
+{
+    const std::lock_guard lock(m_mutex);
+    const MonotonicTime now = m_clock.now();
+    ServiceRecord& service = m_services[evidence.service];
+    const auto found = service.servers.find(evidence.server);
+    if (found == service.servers.end())
+        return;
+    ServerRecord& server = found->second;
+    if (evidence.outcome == AttemptOutcome::Leaving)
+        server.saidLeaving = true;
+    const EvidenceClass evidenceClass = classify(evidence, service.usual);
+    if (evidence.outcome == AttemptOutcome::Answered)
+        record(service.usual, evidence.latency, now);
+    if (evidenceClass == EvidenceClass::Neither || evidence.afterStall)
+        return;
+    server.reachable = evidence.outcome != AttemptOutcome::ConnectFailed;
+    if (evidence.probe) {
+        countProbe(server.recovery, evidenceClass == EvidenceClass::Good, now);
+        return;
+    }
+    count(server.counts, evidenceClass, now);
+    count(service.counts, evidenceClass, now);
+    if (evidenceClass == EvidenceClass::Bad) {
+        ++server.consecutiveBad;
+        server.lastBadAt = now;
+    } else {
+        server.consecutiveBad = 0;
+    }
+}
+
+void DetectionState::take(PeerDigest digest)
+{
+    const std::lock_guard lock(m_mutex);
+    digest.heardAt = m_clock.now();
+    HostId host = digest.host;
+    m_digests[std::move(host)] = std::move(digest);
+}
+
+FleetStandings DetectionState::decide(const Configuration& configuration)
+{
+    const std::lock_guard lock(m_mutex);
+    const MonotonicTime now = m_clock.now();
+    std::erase_if(m_digests, [now](const auto& entry) { return !internal::isFresh(entry.second, now); });
+    alignWith(configuration, now);
+    m_linkSuspect = suspectsLink(now);
+    FleetStandings result;
+    for (const Service& service : configuration.services) {
+        ServiceRecord& record = m_services[service.id];
+        judgeServers(service, record, m_linkSuspect, now);
+        std::vector<ServerCondition> conditions;
+        for (const BackendServer& server : service.backendServers)
+            conditions.push_back(conditionOf(service, server, record.servers[server.id], now));
+        const auto outcomes = decideEjections(service.floor, conditions);
+        auto& standings = result.standings.emplace_back();
+        auto& shares = result.shares.emplace_back();
+        for (std::size_t index = 0; index < outcomes.size(); ++index) {
+            const BackendServer& server = service.backendServers[index];
+            ServerRecord& serverRecord = record.servers[server.id];
+            apply(service, server, serverRecord, outcomes[index], now);
+            standings.push_back(serverRecord.standing);
+            shares.push_back(shareAt(serverRecord.recovery, now));
+        }
+    }
+    m_started = true;
+    return result;
+}
+
+void DetectionState::alignWith(const Configuration& configuration, MonotonicTime now)
+{
+    std::set<ServiceId> configured;
+    for (const Service& service : configuration.services) {
+        configured.insert(service.id);
+        const bool firstSight = !m_started || !m_services.contains(service.id);
+        alignWith(service, m_services[service.id], firstSight, now);
+    }
+    std::erase_if(m_services, [&](const auto& entry) { return !configured.contains(entry.first); });
+}
+
+void DetectionState::alignWith(const Service& service, ServiceRecord& record, bool firstSight, MonotonicTime now)
+{
+    std::set<BackendServerId> configured;
+    for (const BackendServer& server : service.backendServers) {
+        configured.insert(server.id);
+        const bool isNew = record.servers.try_emplace(server.id).second;
+        // A server that joins a known service is cold; a host that starts knows of none which is.
+        if (isNew && !firstSight)
+            beginColdStart(record.servers[server.id].recovery, now);
+    }
+    std::erase_if(record.servers, [&](const auto& entry) { return !configured.contains(entry.first); });
+}
+
+bool DetectionState::accusedElsewhere(ServerHash server) const
+{
+    return std::any_of(m_digests.begin(), m_digests.end(), [server](const auto& entry) {
+        const auto found = entry.second.servers.find(server);
+        return found != entry.second.servers.end() && internal::failsMostly(found->second);
+    });
+}
+
+// Failures that nobody else sees, at many servers of every service in use, have their cause near this host.
+bool DetectionState::suspectsLink(MonotonicTime now)
+{
+    bool anyService = false;
+    for (auto& [service, record] : m_services) {
+        std::size_t tried = 0;
+        std::size_t failing = 0;
+        for (auto& [server, serverRecord] : record.servers) {
+            fade(serverRecord.counts, now);
+            if (serverRecord.counts.attempts < internal::recentAttempts || serverRecord.standing != Standing::Serving)
+                continue;
+            ++tried;
+            failing += internal::failsMostly(serverRecord.counts) && !accusedElsewhere(serverHash(service, server)) ? 1 : 0;
+        }
+        if (tried == 0)
+            continue;
+        if (!suspectsOwnLink(failing, tried))
+            return false;
+        anyService = true;
+    }
+    return anyService;
+}
+
+std::vector<Testimony> DetectionState::testimonies(std::uint64_t service, ServerHash server, MonotonicTime now) const
+{
+    std::vector<Testimony> result;
+    for (const auto& [host, digest] : m_digests) {
+        if (digest.linkSuspect || !digest.servers.contains(server))
+            continue;
+        result.push_back({ digest.zone, internal::countsIn(digest.servers, server, now), internal::countsIn(digest.services, service, now) });
+    }
+    return result;
+}
+
+void DetectionState::judgeServers(const Service& service, ServiceRecord& record, bool linkSuspect, MonotonicTime now)
+{
+    fade(record.counts, now);
+    const std::uint64_t serviceHash = stableHash(service.id.value());
+    for (const BackendServer& server : service.backendServers) {
+        ServerRecord& serverRecord = record.servers[server.id];
+        // Good probes say more than what was seen before the ejection.
+        if (passedProbes(serverRecord.recovery)) {
+            serverRecord.counts = {};
+            serverRecord.consecutiveBad = 0;
+        }
+        fade(serverRecord.counts, now);
+        const bool recent = now - serverRecord.lastBadAt < internal::consecutiveWindow;
+        const auto peers = testimonies(serviceHash, serverHash(service.id, server.id), now);
+        const Testimony own { m_settings.zone, serverRecord.counts, record.counts };
+        serverRecord.judgement = judge(server.zone, own, recent ? serverRecord.consecutiveBad : 0, linkSuspect, peers);
+    }
+}
+
+ServerCondition DetectionState::conditionOf(const Service& service, const BackendServer& server, ServerRecord& record, MonotonicTime now) const
+{
+    const ServerHash hash = serverHash(service.id, server.id);
+    if (record.pin && now >= record.pin->expiresAt)
+        record.pin.reset();
+    const bool pinnedServing = record.pin && record.pin->kind == Pin::Kind::Serving;
+    const bool pinnedEjected = record.pin && record.pin->kind == Pin::Kind::Ejected;
+    record.saidLeaving = !pinnedServing && (record.saidLeaving || leavingElsewhere(hash, now));
+    const bool byEvidence = record.judgement.condemnedOnOwnPath || record.judgement.condemnedByFleet;
+    record.proposed = service.mode == EjectionMode::Propose && byEvidence && record.standing == Standing::Serving;
+    const bool decided = service.mode == EjectionMode::Automatic || (service.mode == EjectionMode::Propose && record.confirmed);
+    ServerCondition condition;
+    condition.slots = server.slots;
+    condition.leaving = server.leaving || record.saidLeaving;
+    condition.reachable = record.reachable;
+    condition.warm = shareAt(record.recovery, now);
+    condition.ejected = record.standing == Standing::Ejected;
+    condition.condemned = !pinnedServing && (pinnedEjected || (byEvidence && decided));
+    condition.cleared = pinnedServing || (!pinnedEjected && (passedProbes(record.recovery) || service.mode == EjectionMode::Off));
+    condition.badness = record.judgement.badness + (record.standing == Standing::Ejected ? 0 : record.consecutiveBad);
+    condition.ejectedElsewhere = announcedElsewhere(hash, now);
+    return condition;
+}
+
+void DetectionState::apply(const Service& service, const BackendServer& server, ServerRecord& record, const EjectionOutcome& outcome, MonotonicTime now)
+{
+    const Standing before = record.standing;
+    const EjectionRule ruleBefore = record.rule;
+    record.standing = outcome.standing;
+    record.rule = outcome.rule == EjectionRule::Unchanged && record.proposed && !record.confirmed ? EjectionRule::Proposed : outcome.rule;
+    if (before != record.standing) {
+        journalChange(service, server, record, before);
+        if (record.standing == Standing::Ejected)
+            beginHold(record.recovery, now);
+        else if (before == Standing::Ejected)
+            beginReturn(record.recovery, outcome.rule == EjectionRule::Cleared, now);
+        if (record.standing == Standing::Serving) {
+            record.counts = {};
+            record.consecutiveBad = 0;
+            record.confirmed = false;
+        }
+    } else if (record.rule != ruleBefore && record.rule != EjectionRule::Unchanged) {
+        journalChange(service, server, record, before);
+    }
+}
+
+void DetectionState::journalChange(const Service& service, const BackendServer& server, const ServerRecord& record, Standing before)
+{
+    const Judgement& judgement = record.judgement;
+    Event event("standing");
+    event.with("host", m_settings.id).with("service", service.id).with("server", server.id);
+    event.with("from", nameOf(before)).with("to", nameOf(record.standing)).with("rule", nameOf(record.rule));
+    event.with("scope", judgement.condemnedByFleet ? "fleet" : "own-path");
+    event.with("attempts_tenths", static_cast<long long>(judgement.attempts * 10)).with("bad_tenths", static_cast<long long>(judgement.bad * 10));
+    event.with("slow_tenths", static_cast<long long>(judgement.slow * 10)).with("accusers", judgement.accusers);
+    event.with("consecutive", record.consecutiveBad);
+    if (record.pin)
+        event.with("pinned_by", record.pin->author);
+    event.with("reversed_by", reversalOf(record.standing, record.rule));
+    m_journal.record(event);
+}
+
+bool DetectionState::announcedElsewhere(ServerHash server, MonotonicTime now) const
+{
+    const auto announces = [&](const auto& entry) { return internal::isFresh(entry.second, now) && internal::contains(entry.second.ejected, server); };
+    return static_cast<std::size_t>(std::count_if(m_digests.begin(), m_digests.end(), announces)) >= internal::announcersThatCount;
+}
+
+bool DetectionState::leavingElsewhere(ServerHash server, MonotonicTime now) const
+{
+    return std::any_of(m_digests.begin(), m_digests.end(), [&](const auto& entry) {
+        return internal::isFresh(entry.second, now) && internal::contains(entry.second.leaving, server);
+    });
+}
+
+PeerDigest DetectionState::digest()
+{
+    const std::lock_guard lock(m_mutex);
+    const MonotonicTime now = m_clock.now();
+    PeerDigest digest { m_settings.id, m_settings.zone, now, m_linkSuspect, {}, {}, {}, {} };
+    std::vector<std::pair<double, std::pair<ServerHash, EvidenceCounts>>> worst;
+    for (auto& [service, record] : m_services) {
+        fade(record.counts, now);
+        bool anything = false;
+        for (auto& [server, serverRecord] : record.servers) {
+            const ServerHash hash = serverHash(service, server);
+            fade(serverRecord.counts, now);
+            const EvidenceCounts& counts = serverRecord.counts;
+            const bool complains = counts.bad + counts.slow >= internal::worthTelling;
+            const bool answersComplaint = counts.attempts >= internal::worthTelling && std::any_of(m_digests.begin(), m_digests.end(), [hash](const auto& entry) { return entry.second.servers.contains(hash); });
+            if (complains || answersComplaint)
+                worst.push_back({ counts.bad + counts.slow / 2, { hash, counts } });
+            anything = anything || complains || answersComplaint;
+            if (serverRecord.standing == Standing::Ejected)
+                digest.ejected.push_back(hash);
+            if (serverRecord.saidLeaving)
+                digest.leaving.push_back(hash);
+        }
+        if (anything)
+            digest.services.emplace(stableHash(service.value()), record.counts);
+    }
+    std::sort(worst.begin(), worst.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
+    worst.resize(std::min(worst.size(), internal::mostToldServers));
+    for (auto& [badness, entry] : worst)
+        digest.servers.insert(entry);
+    return digest;
+}
+
+void DetectionState::serve(const FleetSnapshot& snapshot)
+{
+    if (!snapshot.tables)
+        return;
+    const std::lock_guard lock(m_mutex);
+    const MonotonicTime now = m_clock.now();
+    const auto& services = snapshot.tables->configuration->services;
+    for (std::size_t service = 0; service < services.size(); ++service) {
+        const auto found = m_services.find(services[service].id);
+        if (found == m_services.end())
+            continue;
+        snapshot.timings[service]->stallBound.store(stallBound(found->second.usual).count(), std::memory_order_relaxed);
+        for (std::size_t server = 0; server < services[service].backendServers.size(); ++server) {
+            const auto record = found->second.servers.find(services[service].backendServers[server].id);
+            if (record == found->second.servers.end())
+                continue;
+            BackendServerLoad& load = *snapshot.loads[service][server];
+            if (record->second.standing == Standing::Leaving)
+                load.leaving.store(true, std::memory_order_relaxed);
+            const bool pinnedOut = record->second.pin && record->second.pin->kind == Pin::Kind::Ejected;
+            if (record->second.standing == Standing::Ejected && !pinnedOut && takeProbe(record->second.recovery, now))
+                load.probes.store(1, std::memory_order_relaxed);
+        }
+    }
+}
+
+bool DetectionState::confirm(const ServiceId& service, const BackendServerId& server, const std::string& author)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    const auto record = found->second.servers.find(server);
+    if (record == found->second.servers.end() || !record->second.proposed)
+        return false;
+    record->second.confirmed = true;
+    m_journal.record(Event("ejection-confirmed").with("service", service).with("server", server).with("author", author));
+    return true;
+}
+
+bool DetectionState::pin(const ServiceId& service, const BackendServerId& server, Pin pin)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    const auto record = found->second.servers.find(server);
+    if (record == found->second.servers.end())
+        return false;
+    m_journal.record(Event("server-pinned").with("service", service).with("server", server).with("author", pin.author).with("to", pin.kind == Pin::Kind::Serving ? "serving" : "ejected"));
+    record->second.pin = std::move(pin);
+    return true;
+}
+
+std::vector<ServerReport> DetectionState::reports()
+{
+    const std::lock_guard lock(m_mutex);
+    const MonotonicTime now = m_clock.now();
+    std::vector<ServerReport> result;
+    for (const auto& [service, record] : m_services) {
+        for (const auto& [server, each] : record.servers) {
+            const Percent share = shareAt(each.recovery, now);
+            const bool plain = each.standing == Standing::Serving && share.value == 100 && each.judgement.badness < internal::worthTelling && !each.pin;
+            if (!plain)
+                result.push_back({ service, server, each.standing, share, each.rule, each.judgement, each.proposed, each.pin });
+        }
+    }
+    return result;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/detection/lacewingsail/src/Detection/ForwardDeclarations.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lacewingsail {
+
+class DetectionController;
+class DetectionState;
+class EvidencePeers;
+class EvidenceQueue;
+struct Pin;
+struct ServerReport;
+
+} // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -5,6 +5,7 @@
 
 #include <lacewingsail/Bookings.h>
 #include <lacewingsail/ConfigurationSync.h>
+#include <lacewingsail/Detection.h>
 #include <lacewingsail/Limits.h>
 #include <lacewingsail/Membership.h>
 #include <lacewingsail/Platform.h>
@@ -18,22 +19,6 @@
     constexpr std::size_t mostMetricSeries = 512;
     constexpr int operatorThreads = 2;
 
-    class CountedEvidence final : public EvidenceSink {
-    public:
-        explicit CountedEvidence(Metrics& metrics)
-            : m_metrics(metrics)
-        {
-        }
-
-        void observe(const AttemptEvidence& evidence) override
-        {
-            m_metrics.counter("attempts_total", "server", evidence.server.value()).fetch_add(1, std::memory_order_relaxed);
-        }
-
-    private:
-        Metrics& m_metrics;
-    };
-
 } // namespace internal
 
 struct EntryHost::Implementation {
@@ -49,13 +34,14 @@
     std::atomic<bool> draining { false };
     SnapshotCell snapshot;
     const std::shared_ptr<KeyFreshness> keyFreshness = std::make_shared<KeyFreshness>();
-    SnapshotPublisher publisher { snapshot, keyFreshness };
+    DetectionState detection { settings, clock, journal };
+    SnapshotPublisher publisher { snapshot, keyFreshness, [this](const Configuration& text) { return detection.decide(text); } };
     ConfigurationState configuration { journal };
     KeyFreshnessTracker freshnessTracker { *keyFreshness, settings.keyStalenessBound, settings.id };
     CheckpointAge checkpointAge;
     std::atomic<bool> configurationCaughtUp { false };
     std::atomic<MonotonicTime> configurationHeardAt { MonotonicTime {} };
-    internal::CountedEvidence evidence { metrics };
+    EvidenceQueue evidence { metrics };
     EvenSplit admission { settings.limitSlots, clock };
     LogBookings bookings { settings, [this] { return std::make_unique<HttpLogService>(settings.log); }, clock, journal };
     PeerChannels channels;
@@ -65,6 +51,8 @@
     std::unique_ptr<LogFollower> withdrawalFollower;
     std::unique_ptr<LogKeeper> logKeeper;
     std::unique_ptr<OperatorApi> operatorApi;
+    std::unique_ptr<EvidencePeers> evidencePeers;
+    std::unique_ptr<DetectionController> detectionController;
     std::unique_ptr<PeerServer> peerServer;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<ProxyServer> proxy;
@@ -123,11 +111,14 @@
     configurationPeers->start();
     logKeeper = std::make_unique<LogKeeper>(LogKeeperParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, journal }, std::make_unique<HttpLogService>(settings.log));
     operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining });
+    evidencePeers = std::make_unique<EvidencePeers>(settings, detection, *membership, channels, metrics);
+    detectionController = std::make_unique<DetectionController>(DetectionServices {
+        detection, evidence, *evidencePeers, [this] { publisher.updateStandings(); }, [this] { return snapshot.current(); } });
 }
 
 void EntryHost::Implementation::startListeners(std::error_code& error)
 {
-    peerServer = std::make_unique<PeerServer>(settings.peers, std::vector<grpc::Service*> { &configurationPeers->service() }, error);
+    peerServer = std::make_unique<PeerServer>(settings.peers, std::vector<grpc::Service*> { &configurationPeers->service(), &evidencePeers->service() }, error);
     if (error)
         return;
     operatorServer = std::make_unique<HttpServer>(
--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -30,19 +30,6 @@
         return asJson(entry.httpStatus, json::object { { "code", static_cast<int>(code) }, { "name", entry.name }, { "message", entry.meaning } });
     }
 
-    const char* nameOf(Standing standing)
-    {
-        switch (standing) {
-        case Standing::Serving:
-            return "serving";
-        case Standing::Ejected:
-            return "ejected";
-        case Standing::Leaving:
-            return "leaving";
-        }
-        return "";
-    }
-
     json::array servicesOf(const FleetSnapshot& snapshot)
     {
         json::array services;
@@ -53,7 +40,7 @@
             json::array servers;
             for (std::size_t server = 0; server < configured[service].backendServers.size(); ++server) {
                 servers.emplace_back(json::object { { "name", configured[service].backendServers[server].id.value() },
-                    { "standing", nameOf(snapshot.standings[service][server]) }, { "in_flight", snapshot.loads[service][server]->inFlight.load() } });
+                    { "standing", nameOf(snapshot.standings[service][server]) }, { "share_percent", snapshot.shares[service][server].value }, { "in_flight", snapshot.loads[service][server]->inFlight.load() } });
             }
             services.emplace_back(json::object { { "name", configured[service].id.value() }, { "floor_percent", configured[service].floor.value }, { "backend_servers", std::move(servers) } });
         }
--- a/packages/host/lacewingsail/src/Host/SnapshotPublisher.cpp
+++ b/packages/host/lacewingsail/src/Host/SnapshotPublisher.cpp
@@ -2,8 +2,19 @@
 
 namespace lacewingsail {
 
-SnapshotPublisher::SnapshotPublisher(SnapshotCell& cell, std::shared_ptr<const KeyFreshness> keyFreshness)
+namespace internal {
+
+    void setStandings(FleetSnapshot& snapshot, FleetStandings standings)
+    {
+        snapshot.standings = std::move(standings.standings);
+        snapshot.shares = std::move(standings.shares);
+    }
+
+} // namespace internal
+
+SnapshotPublisher::SnapshotPublisher(SnapshotCell& cell, std::shared_ptr<const KeyFreshness> keyFreshness, StandingDecision decide)
     : m_cell(cell)
+    , m_decide(std::move(decide))
 {
     auto first = std::make_shared<FleetSnapshot>(*m_cell.current());
     first->keyFreshness = std::move(keyFreshness);
@@ -19,10 +30,26 @@
     const bool sameVersion = before->tables && before->tables->version == version;
     if (record.configuration && !sameVersion) {
         fresh->tables = makeConfigurationTables(version, record.configuration);
-        fresh->standings = configuredStandings(*record.configuration);
+        // Decided in the same step, so that no snapshot has the new servers with the old ejections.
+        internal::setStandings(*fresh, m_decide(*record.configuration));
         fresh->loads = carryLoads(*record.configuration, before.get());
+        fresh->timings = carryTimings(*record.configuration, before.get());
     }
     m_cell.publish(std::move(fresh));
 }
 
+void SnapshotPublisher::updateStandings()
+{
+    const std::lock_guard lock(m_mutex);
+    const auto before = m_cell.current();
+    if (!before->tables)
+        return;
+    FleetStandings standings = m_decide(*before->tables->configuration);
+    if (standings.standings == before->standings && standings.shares == before->shares)
+        return;
+    auto fresh = std::make_shared<FleetSnapshot>(*before);
+    internal::setStandings(*fresh, std::move(standings));
+    m_cell.publish(std::move(fresh));
+}
+
 } // namespace lacewingsail
--- a/packages/host/lacewingsail/src/Host/SnapshotPublisher.h
+++ b/packages/host/lacewingsail/src/Host/SnapshotPublisher.h
@@ -4,6 +4,7 @@
 #include <lacewingsail/Policy.h>
 #include <lacewingsail/Proxy.h>
 
+#include <functional>
 #include <mutex>
 
 namespace lacewingsail {
@@ -12,14 +13,21 @@
 /// here, so that one snapshot never mixes parts of two versions.
 class SnapshotPublisher {
 public:
+    using StandingDecision = std::function<FleetStandings(const Configuration&)>;
+
     /// \param keyFreshness until when the withdrawn keys may be trusted; every snapshot carries it.
-    SnapshotPublisher(SnapshotCell&, std::shared_ptr<const KeyFreshness> keyFreshness);
+    /// \param decide called for every new configuration and every updateStandings(), one call at a time.
+    SnapshotPublisher(SnapshotCell&, std::shared_ptr<const KeyFreshness> keyFreshness, StandingDecision decide);
 
     /// \brief Takes over a configuration and the withdrawn keys.
     void update(const ConfigurationRecord&, ConfigurationVersion, std::shared_ptr<const WithdrawnKeys>);
 
+    /// \brief Decides the standings anew; publishes a snapshot if one of them changed.
+    void updateStandings();
+
 private:
     SnapshotCell& m_cell;
+    const StandingDecision m_decide;
     std::mutex m_mutex;
 };
 
--- a/packages/policy/lacewingsail/src/Policy/Choice.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Choice.cpp
@@ -29,6 +29,13 @@
         return candidates.size();
     }
 
+    // A server that warms up is drawn as often as the others, but then gets its share of the work only.
+    bool declines(const Candidate& candidate, std::uint64_t random)
+    {
+        constexpr std::uint64_t whole = 100;
+        return (random >> 16) % whole >= static_cast<std::uint64_t>(candidate.share.value);
+    }
+
     bool lessLoaded(const Candidate& left, const Candidate& right)
     {
         // Load is compared as a share of the slots, without dividing.
@@ -49,7 +56,8 @@
             return first;
         const std::size_t step = 1 + (random >> 32) % (count - 1);
         const std::size_t second = positionOf(candidates, predicate, (firstOrdinal + step) % count);
-        return lessLoaded(candidates[second], candidates[first]) ? second : first;
+        const std::size_t better = lessLoaded(candidates[second], candidates[first]) ? second : first;
+        return declines(candidates[better], random) ? first + second - better : better;
     }
 
 } // namespace internal
--- a/packages/policy/lacewingsail/src/Policy/Choice.h
+++ b/packages/policy/lacewingsail/src/Policy/Choice.h
@@ -17,6 +17,8 @@
     /// Smoothed time to answer.
     std::chrono::microseconds latency { 0 };
     bool sameZone = false;
+    /// Share of its usual work that it gets: less than the whole while it warms up.
+    Percent share { 100 };
     /// False if ejected, leaving or unreachable.
     bool serving = true;
     /// The request was tried there already.
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/Detection.cpp
@@ -0,0 +1,214 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::chrono::duration<double> evidenceHalfLife { 3 };
+    constexpr std::chrono::duration<double> latencyHalfLife { 10 };
+    constexpr std::chrono::milliseconds shortestStallBound { 100 };
+    constexpr std::chrono::milliseconds stallBoundBeforeEvidence { 1000 };
+    constexpr std::chrono::milliseconds smallestSlowness { 20 };
+    constexpr double fewestLatencies = 20;
+    constexpr double stallFactorOfMedian = 8;
+    constexpr double stallFactorOfTail = 3;
+    constexpr double slowFactorOfMedian = 4;
+    constexpr double binsPerDoubling = 3;
+    constexpr double firstBinMicroseconds = 100;
+
+    // Failures are expected at this rate even where nothing is wrong.
+    constexpr double leastExpectedBad = 0.002;
+    constexpr double leastExpectedSlow = 0.02;
+    constexpr double deviations = 5;
+    constexpr double fewestFailures = 3;
+    constexpr double leastBadShare = 0.15;
+    constexpr double leastSlowShare = 0.5;
+    constexpr int mostConsecutiveBad = 3;
+    constexpr int fewestAccusers = 2;
+    constexpr double accusationCount = 0.5;
+    constexpr double serviceWideShare = 0.3;
+
+    double fadeFactor(Duration elapsed, std::chrono::duration<double> halfLife)
+    {
+        return std::exp2(-std::chrono::duration<double>(elapsed) / halfLife);
+    }
+
+    std::size_t binOf(std::chrono::microseconds latency)
+    {
+        const double ratio = std::max(1.0, static_cast<double>(latency.count()) / firstBinMicroseconds);
+        const auto bin = static_cast<std::size_t>(std::log2(ratio) * binsPerDoubling);
+        return std::min(bin, UsualLatency::binCount - 1);
+    }
+
+    std::chrono::microseconds upperBoundOf(std::size_t bin)
+    {
+        return std::chrono::microseconds(static_cast<std::int64_t>(firstBinMicroseconds * std::exp2(static_cast<double>(bin + 1) / binsPerDoubling)));
+    }
+
+    std::chrono::microseconds scaled(std::chrono::microseconds latency, double factor)
+    {
+        return std::chrono::microseconds(static_cast<std::int64_t>(static_cast<double>(latency.count()) * factor));
+    }
+
+    void add(EvidenceCounts& sum, const EvidenceCounts& counts)
+    {
+        sum.attempts += counts.attempts;
+        sum.bad += counts.bad;
+        sum.slow += counts.slow;
+    }
+
+    double shareElsewhere(double service, double server, double serviceAttempts, double serverAttempts)
+    {
+        const double attempts = serviceAttempts - serverAttempts;
+        return attempts > 0 ? std::max(0.0, service - server) / attempts : 0;
+    }
+
+    // More failures than the rest of the service explains, with room for chance.
+    bool stands(double failures, double attempts, double shareOfOthers, double leastShare)
+    {
+        const double expected = attempts * shareOfOthers;
+        return failures >= leastShare * attempts && failures > expected + deviations * std::sqrt(expected) + fewestFailures;
+    }
+
+    bool isOutlier(const EvidenceCounts& server, const EvidenceCounts& service)
+    {
+        const double badElsewhere = shareElsewhere(service.bad, server.bad, service.attempts, server.attempts);
+        const double slowElsewhere = shareElsewhere(service.slow, server.slow, service.attempts, server.attempts);
+        if (badElsewhere + slowElsewhere >= serviceWideShare)
+            return false;
+        return stands(server.bad, server.attempts, std::max(badElsewhere, leastExpectedBad), leastBadShare)
+            || stands(server.slow + server.bad, server.attempts, std::max(slowElsewhere, leastExpectedSlow), leastSlowShare);
+    }
+
+    bool accuses(const Testimony& testimony)
+    {
+        const EvidenceCounts& server = testimony.server;
+        return server.bad >= accusationCount || (server.slow >= accusationCount && server.slow >= leastSlowShare * server.attempts);
+    }
+
+    bool isServiceWide(const Testimony& own)
+    {
+        return shareElsewhere(own.service.bad + own.service.slow, own.server.bad + own.server.slow, own.service.attempts, own.server.attempts) >= serviceWideShare;
+    }
+
+} // namespace internal
+
+void fade(EvidenceCounts& counts, MonotonicTime now)
+{
+    if (now <= counts.updatedAt)
+        return;
+    const double factor = internal::fadeFactor(now - counts.updatedAt, internal::evidenceHalfLife);
+    counts.attempts *= factor;
+    counts.bad *= factor;
+    counts.slow *= factor;
+    counts.updatedAt = now;
+}
+
+void count(EvidenceCounts& counts, EvidenceClass evidence, MonotonicTime now)
+{
+    fade(counts, now);
+    if (evidence == EvidenceClass::Neither)
+        return;
+    counts.attempts += 1;
+    counts.bad += evidence == EvidenceClass::Bad ? 1 : 0;
+    counts.slow += evidence == EvidenceClass::Slow ? 1 : 0;
+}
+
+void record(UsualLatency& usual, std::chrono::microseconds latency, MonotonicTime now)
+{
+    if (now > usual.updatedAt) {
+        const double factor = internal::fadeFactor(now - usual.updatedAt, internal::latencyHalfLife);
+        for (double& bin : usual.bins)
+            bin *= factor;
+        usual.total *= factor;
+        usual.updatedAt = now;
+    }
+    usual.bins[internal::binOf(latency)] += 1;
+    usual.total += 1;
+}
+
+std::chrono::microseconds quantile(const UsualLatency& usual, double share)
+{
+    if (usual.total < internal::fewestLatencies)
+        return std::chrono::microseconds(0);
+    double sum = 0;
+    for (std::size_t bin = 0; bin < UsualLatency::binCount; ++bin) {
+        sum += usual.bins[bin];
+        if (sum >= share * usual.total)
+            return internal::upperBoundOf(bin);
+    }
+    return internal::upperBoundOf(UsualLatency::binCount - 1);
+}
+
+std::chrono::microseconds stallBound(const UsualLatency& usual)
+{
+    const auto median = quantile(usual, 0.5);
+    if (median.count() == 0)
+        return internal::stallBoundBeforeEvidence;
+    const auto byMedian = internal::scaled(median, internal::stallFactorOfMedian);
+    const auto byTail = internal::scaled(quantile(usual, 0.95), internal::stallFactorOfTail);
+    return std::max({ byMedian, byTail, std::chrono::microseconds(internal::shortestStallBound) });
+}
+
+EvidenceClass classify(const AttemptEvidence& evidence, const UsualLatency& usual)
+{
+    switch (evidence.outcome) {
+    case AttemptOutcome::Shed:
+    case AttemptOutcome::Leaving:
+    case AttemptOutcome::Cancelled:
+        return EvidenceClass::Neither;
+    case AttemptOutcome::Answered:
+        break;
+    default:
+        return EvidenceClass::Bad;
+    }
+    const auto median = quantile(usual, 0.5);
+    if (median.count() == 0)
+        return EvidenceClass::Good;
+    const auto bound = std::max(internal::scaled(median, internal::slowFactorOfMedian), median + internal::smallestSlowness);
+    return evidence.latency > bound ? EvidenceClass::Slow : EvidenceClass::Good;
+}
+
+ServerHash serverHash(const ServiceId& service, const BackendServerId& server) { return rendezvousWeight(service.value(), server.value()); }
+
+bool suspectsOwnLink(std::size_t failingServers, std::size_t triedServers)
+{
+    // Two failing servers of a few are no pattern yet.
+    return failingServers >= 3 && failingServers * 3 > triedServers;
+}
+
+Judgement judge(const ZoneId& serverZone, const Testimony& own, int consecutiveBad, bool linkSuspect, std::span<const Testimony> peers)
+{
+    Judgement judgement;
+    EvidenceCounts server;
+    EvidenceCounts service;
+    std::set<ZoneId> zones;
+    const auto hear = [&](const Testimony& testimony) {
+        internal::add(server, testimony.server);
+        internal::add(service, testimony.service);
+        if (!internal::accuses(testimony))
+            return;
+        ++judgement.accusers;
+        zones.insert(testimony.zone);
+    };
+    if (!linkSuspect)
+        hear(own);
+    for (const Testimony& testimony : peers)
+        hear(testimony);
+    judgement.attempts = server.attempts;
+    judgement.bad = server.bad;
+    judgement.slow = server.slow;
+    judgement.badness = server.bad + server.slow / 2;
+    const bool inARow = consecutiveBad >= internal::mostConsecutiveBad && !internal::isServiceWide(own);
+    judgement.condemnedOnOwnPath = !linkSuspect && (inARow || internal::isOutlier(own.server, own.service));
+    // Hosts of one zone that fail to reach another zone show a fault of the way between; not so in the server's own.
+    const bool severalZones = zones.size() >= 2 || zones.contains(serverZone);
+    judgement.condemnedByFleet = judgement.accusers >= internal::fewestAccusers && severalZones && internal::isOutlier(server, service);
+    return judgement;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/Ejection.cpp
@@ -0,0 +1,220 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cassert>
+#include <numeric>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::int64_t wholeShare = 100;
+
+    // The decision under construction: which servers are out, and what is left.
+    class EjectionPlan {
+    public:
+        EjectionPlan(Percent floor, std::span<const ServerCondition> conditions)
+            : m_conditions(conditions)
+            , m_floor(static_cast<std::int64_t>(floorCapacity(floor, conditions)))
+            , m_outcomes(conditions.size())
+            , m_shares(conditions.size())
+        {
+            for (std::size_t index = 0; index < conditions.size(); ++index) {
+                m_shares[index] = conditions[index].warm.value;
+                m_outcomes[index].standing = initialStanding(conditions[index]);
+            }
+        }
+
+        void returnCleared()
+        {
+            for (std::size_t index = 0; index < m_conditions.size(); ++index) {
+                if (isEjected(index) && m_conditions[index].cleared)
+                    set(index, Standing::Serving, EjectionRule::Cleared, firstShare.value);
+            }
+        }
+
+        // A server that returns for the floor returns whole: it is not cold, and its capacity is needed.
+        void returnForFloor()
+        {
+            for (const std::size_t index : byBadness(false)) {
+                if (healthy() >= m_floor)
+                    return;
+                if (isEjected(index) && m_conditions[index].reachable)
+                    set(index, Standing::Serving, EjectionRule::ReturnedForFloor, wholeShare);
+            }
+        }
+
+        void ejectCondemned()
+        {
+            for (const std::size_t index : byBadness(true)) {
+                if (isServing(index) && m_conditions[index].condemned)
+                    ejectIfFloorAllows(index);
+            }
+        }
+
+        std::vector<EjectionOutcome> take() && { return std::move(m_outcomes); }
+
+    private:
+        static Standing initialStanding(const ServerCondition& condition)
+        {
+            if (condition.leaving)
+                return Standing::Leaving;
+            return condition.ejected ? Standing::Ejected : Standing::Serving;
+        }
+
+        bool isEjected(std::size_t index) const { return m_outcomes[index].standing == Standing::Ejected; }
+        bool isServing(std::size_t index) const { return m_outcomes[index].standing == Standing::Serving; }
+
+        void set(std::size_t index, Standing standing, EjectionRule rule, std::int64_t share)
+        {
+            m_outcomes[index] = { standing, rule };
+            m_shares[index] = share;
+        }
+
+        std::int64_t contribution(std::size_t index) const
+        {
+            const bool serves = isServing(index) && m_conditions[index].reachable;
+            return serves ? m_conditions[index].slots.value * m_shares[index] : 0;
+        }
+
+        std::int64_t healthy() const
+        {
+            std::int64_t sum = 0;
+            for (std::size_t index = 0; index < m_conditions.size(); ++index)
+                sum += contribution(index);
+            return sum;
+        }
+
+        std::int64_t healthyEverywhere() const
+        {
+            std::int64_t sum = 0;
+            for (std::size_t index = 0; index < m_conditions.size(); ++index)
+                sum += m_conditions[index].ejectedElsewhere ? 0 : contribution(index);
+            return sum;
+        }
+
+        // The rule of a return also says with which share the server starts, so it stands.
+        static void keep(EjectionOutcome& outcome, EjectionRule rule)
+        {
+            if (outcome.rule == EjectionRule::Unchanged)
+                outcome.rule = rule;
+        }
+
+        void ejectIfFloorAllows(std::size_t index)
+        {
+            const std::int64_t loss = contribution(index);
+            EjectionOutcome& outcome = m_outcomes[index];
+            if (loss > 0 && healthy() - loss < m_floor) {
+                keep(outcome, EjectionRule::KeptForFloor);
+                return;
+            }
+            // What is out elsewhere already costs the fleet nothing more.
+            if (loss > 0 && !m_conditions[index].ejectedElsewhere && healthyEverywhere() - loss < m_floor) {
+                keep(outcome, EjectionRule::KeptForFleetFloor);
+                return;
+            }
+            outcome = { Standing::Ejected, EjectionRule::Condemned };
+        }
+
+        std::vector<std::size_t> byBadness(bool worstFirst) const
+        {
+            std::vector<std::size_t> order(m_conditions.size());
+            std::iota(order.begin(), order.end(), std::size_t { 0 });
+            std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+                return worstFirst ? m_conditions[left].badness > m_conditions[right].badness : m_conditions[left].badness < m_conditions[right].badness;
+            });
+            return order;
+        }
+
+        const std::span<const ServerCondition> m_conditions;
+        const std::int64_t m_floor;
+        std::vector<EjectionOutcome> m_outcomes;
+        std::vector<std::int64_t> m_shares;
+    };
+
+    // What a server that returns in this decision serves with; others keep the share they have.
+    std::int64_t shareAfter(const ServerCondition& condition, EjectionRule rule)
+    {
+        if (rule == EjectionRule::ReturnedForFloor)
+            return wholeShare;
+        return rule == EjectionRule::Cleared ? firstShare.value : condition.warm.value;
+    }
+
+} // namespace internal
+
+Capacity floorCapacity(Percent floor, std::span<const ServerCondition> conditions)
+{
+    std::int64_t slots = 0;
+    for (const ServerCondition& condition : conditions)
+        slots += condition.slots.value;
+    return Capacity { slots * floor.value };
+}
+
+Capacity healthyCapacity(std::span<const ServerCondition> conditions, std::span<const EjectionOutcome> outcomes)
+{
+    assert(conditions.size() == outcomes.size());
+    std::int64_t sum = 0;
+    for (std::size_t index = 0; index < conditions.size(); ++index) {
+        if (outcomes[index].standing == Standing::Serving && conditions[index].reachable)
+            sum += conditions[index].slots.value * internal::shareAfter(conditions[index], outcomes[index].rule);
+    }
+    return Capacity { sum };
+}
+
+std::vector<EjectionOutcome> decideEjections(Percent floor, std::span<const ServerCondition> conditions)
+{
+    internal::EjectionPlan plan(floor, conditions);
+    plan.returnCleared();
+    plan.returnForFloor();
+    plan.ejectCondemned();
+    return std::move(plan).take();
+}
+
+const char* nameOf(EjectionRule rule)
+{
+    switch (rule) {
+    case EjectionRule::Unchanged:
+        return "unchanged";
+    case EjectionRule::Condemned:
+        return "condemned-by-evidence";
+    case EjectionRule::Cleared:
+        return "cleared-by-probes";
+    case EjectionRule::ReturnedForFloor:
+        return "returned-for-floor";
+    case EjectionRule::KeptForFloor:
+        return "kept-for-floor";
+    case EjectionRule::KeptForFleetFloor:
+        return "kept-for-fleet-floor";
+    case EjectionRule::Proposed:
+        return "proposed";
+    }
+    return "";
+}
+
+const char* nameOf(Standing standing)
+{
+    switch (standing) {
+    case Standing::Serving:
+        return "serving";
+    case Standing::Ejected:
+        return "ejected";
+    case Standing::Leaving:
+        return "leaving";
+    }
+    return "";
+}
+
+const char* reversalOf(Standing standing, EjectionRule rule)
+{
+    if (standing == Standing::Leaving)
+        return "a configuration that sets the server up anew, or a pin to serving";
+    if (standing == Standing::Ejected)
+        return "three good probes in a row after the hold, healthy capacity below the floor, or a pin to serving";
+    if (rule == EjectionRule::Proposed)
+        return "an operator's confirmation, or evidence that fades";
+    if (rule == EjectionRule::KeptForFloor || rule == EjectionRule::KeptForFleetFloor)
+        return "more healthy capacity in the service";
+    return "new evidence against the server, or a pin to ejected";
+}
+
+} // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/Evidence.h
+++ b/packages/policy/lacewingsail/src/Policy/Evidence.h
@@ -33,6 +33,10 @@
     AttemptOutcome outcome = AttemptOutcome::Answered;
     /// Time to the first byte of the answer, or to the end of the attempt if there was none.
     std::chrono::microseconds latency { 0 };
+    /// The attempt tried whether an ejected server is well again.
+    bool probe = false;
+    /// The attempt was reported as stalled before; only its latency is news.
+    bool afterStall = false;
 };
 
 /// \brief Takes in evidence from the request threads; must not block.
--- a/packages/policy/lacewingsail/src/Policy/FleetSnapshot.cpp
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.cpp
@@ -38,15 +38,17 @@
     return tables;
 }
 
-std::vector<std::vector<Standing>> configuredStandings(const Configuration& configuration)
+FleetStandings configuredStandings(const Configuration& configuration)
 {
-    std::vector<std::vector<Standing>> standings;
+    constexpr Percent whole { 100 };
+    FleetStandings result;
     for (const Service& service : configuration.services) {
-        auto& row = standings.emplace_back();
+        auto& row = result.standings.emplace_back();
         for (const BackendServer& server : service.backendServers)
             row.push_back(server.leaving ? Standing::Leaving : Standing::Serving);
+        result.shares.emplace_back(service.backendServers.size(), whole);
     }
-    return standings;
+    return result;
 }
 
 std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> carryLoads(const Configuration& configuration, const FleetSnapshot* before)
@@ -63,4 +65,19 @@
     return loads;
 }
 
+std::vector<std::shared_ptr<ServiceTiming>> carryTimings(const Configuration& configuration, const FleetSnapshot* before)
+{
+    std::vector<std::shared_ptr<ServiceTiming>> timings;
+    for (const Service& service : configuration.services) {
+        std::shared_ptr<ServiceTiming> timing;
+        if (before && before->tables) {
+            const auto found = before->tables->services.find(service.id);
+            if (found != before->tables->services.end())
+                timing = before->timings[static_cast<std::size_t>(found->second)];
+        }
+        timings.push_back(timing ? timing : std::make_shared<ServiceTiming>());
+    }
+    return timings;
+}
+
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Keys.h"
+#include "RetryBudget.h"
 #include "Routing.h"
 
 #include <lacewingsail/World.h>
@@ -34,6 +35,27 @@
     std::atomic<int> inFlight { 0 };
     /// Smoothed time to answer, in microseconds.
     std::atomic<std::int64_t> latency { 0 };
+    /// Set as soon as anything says that the server is leaving; requests that hold an older snapshot see it too.
+    std::atomic<bool> leaving { false };
+    /// Requests that may go to the server although it is ejected, to try it.
+    std::atomic<int> probes { 0 };
+};
+
+/// \brief What a service usually needs, as this host measures it, and the further attempts that it may cost.
+struct ServiceTiming {
+    /// Time without a byte after which an attempt counts as stalled, in microseconds.
+    std::atomic<std::int64_t> stallBound { 1'000'000 };
+    /// Retries and hedges of all its requests on this host.
+    RetryBudget retries;
+};
+
+/// \brief Standings and ramps, aligned with the configuration's services and their backend servers.
+struct FleetStandings {
+    std::vector<std::vector<Standing>> standings;
+    /// Share of its usual work that each server gets: less than the whole while it warms up.
+    std::vector<std::vector<Percent>> shares;
+
+    bool operator==(const FleetStandings&) const = default;
 };
 
 /// \brief A version of the configuration with the tables that requests look things up in.
@@ -54,7 +76,9 @@
     std::shared_ptr<const KeyFreshness> keyFreshness;
     /// Aligned with the configuration's services and their backend servers.
     std::vector<std::vector<Standing>> standings;
+    std::vector<std::vector<Percent>> shares;
     std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> loads;
+    std::vector<std::shared_ptr<ServiceTiming>> timings;
 };
 
 /// \returns whether the host may have missed withdrawals at \p now.
@@ -64,10 +88,14 @@
 std::shared_ptr<const ConfigurationTables> makeConfigurationTables(ConfigurationVersion, std::shared_ptr<const Configuration>);
 
 /// \returns standings in which only what the configuration marks as leaving is not serving.
-std::vector<std::vector<Standing>> configuredStandings(const Configuration&);
+FleetStandings configuredStandings(const Configuration&);
 
 /// \brief Loads aligned with \p configuration; servers that were in \p before keep theirs.
 /// \param before null if there was no snapshot.
 std::vector<std::vector<std::shared_ptr<BackendServerLoad>>> carryLoads(const Configuration& configuration, const FleetSnapshot* before);
 
+/// \brief Timings aligned with \p configuration; services that were in \p before keep theirs.
+/// \param before null if there was no snapshot.
+std::vector<std::shared_ptr<ServiceTiming>> carryTimings(const Configuration& configuration, const FleetSnapshot* before);
+
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 namespace lacewingsail {
 
 class Admission;
@@ -9,6 +11,9 @@
 class NotRun;
 class SentAttempt;
 class UnsentAttempt;
+enum class Capacity : std::int64_t;
+enum class EjectionRule : unsigned char;
+enum class EvidenceClass : unsigned char;
 enum class FoldOutcome;
 enum class LinkDirection;
 enum class BookingResult : unsigned char;
@@ -25,13 +30,24 @@
 struct ConfigurationReader;
 struct ConfigurationRecord;
 struct ConfigurationTables;
+struct EjectionOutcome;
+struct EvidenceCounts;
 struct ExchangeSchedule;
 struct FleetSnapshot;
+struct FleetStandings;
+struct Judgement;
 struct KeyTable;
 struct Link;
+struct PeerDigest;
 struct RecordedAnswer;
+struct Recovery;
+struct RetryBudget;
 struct RouteTable;
+struct ServerCondition;
+struct ServiceTiming;
 struct TaskRank;
+struct Testimony;
 struct TokenBucket;
+struct UsualLatency;
 
 } // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/RetryBudget.cpp
@@ -0,0 +1,30 @@
+#include <lacewingsail/Policy.h>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::int64_t oneAttempt = 1000;
+    constexpr std::int64_t earnedByFirstAttempt = 150;
+    constexpr std::int64_t largestBudget = 10 * oneAttempt;
+
+} // namespace internal
+
+void earn(RetryBudget& budget)
+{
+    std::int64_t held = budget.thousandths.load(std::memory_order_relaxed);
+    while (held < internal::largestBudget
+        && !budget.thousandths.compare_exchange_weak(held, held + internal::earnedByFirstAttempt, std::memory_order_relaxed)) { }
+}
+
+bool take(RetryBudget& budget)
+{
+    std::int64_t held = budget.thousandths.load(std::memory_order_relaxed);
+    while (held >= internal::oneAttempt) {
+        if (budget.thousandths.compare_exchange_weak(held, held - internal::oneAttempt, std::memory_order_relaxed))
+            return true;
+    }
+    return false;
+}
+
+} // namespace lacewingsail
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -7,6 +7,9 @@
 namespace {
 
     constexpr std::uint32_t largestAnswerHeader = 64 * 1024;
+    constexpr std::chrono::milliseconds connectTimeout { 500 };
+    // Each answer moves the smoothed latency by one part in this many.
+    constexpr std::int64_t latencySmoothing = 8;
 
     http::request<http::string_body> messageFor(const RequestContext& request, const AttemptTarget& target)
     {
@@ -24,7 +27,7 @@
     net::awaitable<UpstreamConnectionPtr> connect(RequestContext& request, const AttemptTarget& target)
     {
         auto connection = std::make_unique<UpstreamConnection>(request.thread.context);
-        connection->stream.expires_at(request.deadline);
+        connection->stream.expires_at(std::min(request.deadline, request.thread.services.clock.now() + connectTimeout));
         request.cancelAttempt = [stream = &connection->stream] { stream->cancel(); };
         const Endpoint& endpoint = target.server->endpoint;
         boost::system::error_code error;
@@ -66,12 +69,72 @@
         return outcome == AttemptOutcome::Stalled ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken;
     }
 
+    // Watches the wait for the first byte. Past the bound it reports a stall; a request that may be repeated is then
+    // broken off if the budget has a further attempt, all others wait on for their answer.
+    class StallWatch {
+    public:
+        StallWatch(RequestContext& request, const AttemptTarget& target, beast::tcp_stream& stream, MonotonicTime begunAt)
+            : m_state(std::make_shared<State>(request.thread.context))
+        {
+            const std::chrono::microseconds bound(target.timing->stallBound.load(std::memory_order_relaxed));
+            if (begunAt + bound >= request.deadline)
+                return;
+            m_state->timer.expires_at(begunAt + bound);
+            m_state->timer.async_wait([state = m_state, &request, &target, &stream, begunAt](const boost::system::error_code& error) {
+                if (error || state->ended)
+                    return;
+                state->stalled = true;
+                reportAttempt(request, target, AttemptOutcome::Stalled, begunAt);
+                if (request.route->repeatable && take(target.timing->retries)) {
+                    state->brokenOff = true;
+                    stream.cancel();
+                }
+            });
+        }
+        ~StallWatch() { end(); }
+        StallWatch(const StallWatch&) = delete;
+        StallWatch& operator=(const StallWatch&) = delete;
+
+        void end()
+        {
+            m_state->ended = true;
+            m_state->timer.cancel();
+        }
+        bool stalled() const { return m_state->stalled; }
+        bool brokenOff() const { return m_state->brokenOff; }
+
+    private:
+        struct State {
+            explicit State(net::io_context& context)
+                : timer(context)
+            {
+            }
+            net::steady_timer timer;
+            bool ended = false;
+            bool stalled = false;
+            bool brokenOff = false;
+        };
+        std::shared_ptr<State> m_state;
+    };
+
+    void smoothLatency(BackendServerLoad& load, std::chrono::microseconds latency)
+    {
+        // Two threads may lose one of two updates to each other; the average does not mind.
+        const std::int64_t before = load.latency.load(std::memory_order_relaxed);
+        const std::int64_t after = before == 0 ? latency.count() : before + (latency.count() - before) / latencySmoothing;
+        load.latency.store(after, std::memory_order_relaxed);
+    }
+
 } // namespace
 
-void reportAttempt(RequestContext& request, const AttemptTarget& target, AttemptOutcome outcome, MonotonicTime begunAt)
+void reportAttempt(RequestContext& request, const AttemptTarget& target, AttemptOutcome outcome, MonotonicTime begunAt, bool afterStall)
 {
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(request.thread.services.clock.now() - begunAt);
-    request.thread.services.evidence.observe({ target.service->id, target.server->id, outcome, latency });
+    if (outcome == AttemptOutcome::Leaving)
+        target.load->leaving.store(true, std::memory_order_relaxed);
+    if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Stalled)
+        smoothLatency(*target.load, latency);
+    request.thread.services.evidence.observe({ target.service->id, target.server->id, outcome, latency, target.probe, afterStall });
 }
 
 net::awaitable<AttemptResult> attempt(RequestContext& request, const AttemptTarget& target)
@@ -95,22 +158,27 @@
     parser->body_limit(boost::none);
     if (message.method() == http::verb::head)
         parser->skip(true);
+    StallWatch watch(request, target, connection->stream, begunAt);
     if (!error)
         co_await http::async_read_header(connection->stream, connection->buffer, *parser, net::redirect_error(net::use_awaitable, error));
+    watch.end();
+    const bool stalled = watch.stalled();
+    if (watch.brokenOff() && error)
+        co_return std::move(sent).fail(ResultCode::UpstreamTimeout);
     if (error) {
         const AttemptOutcome outcome = outcomeOf(error, request);
-        reportAttempt(request, target, outcome, begunAt);
+        reportAttempt(request, target, outcome, begunAt, stalled);
         co_return std::move(sent).fail(codeOf(outcome));
     }
     if (parser->get()[requestIdField] != request.id.value() || !isWholeByItself(*parser)) {
-        reportAttempt(request, target, AttemptOutcome::Wrong, begunAt);
+        reportAttempt(request, target, AttemptOutcome::Wrong, begunAt, false);
         co_return std::move(sent).fail(ResultCode::UpstreamWrongAnswer);
     }
     if (const auto notRun = parser->get()[notRunField]; !notRun.empty()) {
-        reportAttempt(request, target, notRun == "leaving" ? AttemptOutcome::Leaving : AttemptOutcome::Shed, begunAt);
+        reportAttempt(request, target, notRun == "leaving" ? AttemptOutcome::Leaving : AttemptOutcome::Shed, begunAt, stalled);
         co_return std::move(sent).refusedByServer(ResultCode::Overloaded);
     }
-    reportAttempt(request, target, parser->get().result_int() >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered, begunAt);
+    reportAttempt(request, target, parser->get().result_int() >= 500 ? AttemptOutcome::Failed : AttemptOutcome::Answered, begunAt, stalled);
     co_return AnswerBegun { std::move(connection), std::move(parser) };
 }
 
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.h
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.h
@@ -52,12 +52,16 @@
     const BackendServer* server = nullptr;
     std::shared_ptr<BackendServerLoad> load;
     InFlightMark inFlight;
+    std::shared_ptr<ServiceTiming> timing;
+    /// Whether the attempt tries an ejected server.
+    bool probe = false;
 };
 
 /// \brief Sends the request to one backend server and waits for the header of its answer.
 net::awaitable<AttemptResult> attempt(RequestContext&, const AttemptTarget&);
 
 /// \brief Reports how an attempt ended.
-void reportAttempt(RequestContext&, const AttemptTarget&, AttemptOutcome, MonotonicTime begunAt);
+/// \param afterStall whether the attempt was reported as stalled before.
+void reportAttempt(RequestContext&, const AttemptTarget&, AttemptOutcome, MonotonicTime begunAt, bool afterStall = false);
 
 } // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
@@ -45,6 +45,8 @@
     std::mt19937_64 random;
     CounterFamily requests;
     LatencyFamily times;
+    /// Reused by every choice of a backend server, so that a choice allocates nothing.
+    std::vector<Candidate> candidates;
 };
 
 /// \brief A request from its arrival to its answer.
