--- a/packages/detection/lacewingsail/src/Detection/DetectionController.cpp
+++ b/packages/detection/lacewingsail/src/Detection/DetectionController.cpp
@@ -9,7 +9,7 @@
 namespace internal {
 
     constexpr std::chrono::milliseconds decisionInterval { 50 };
-    constexpr int decisionsPerExchange = 4;
+    constexpr int decisionsPerExchange = 2;
 
 } // namespace internal
 
--- a/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
@@ -10,9 +10,13 @@
     constexpr std::chrono::seconds consecutiveWindow { 30 };
     constexpr std::chrono::seconds digestLifetime { 10 };
     constexpr std::size_t announcersThatCount = 2;
+    // Shorter than the hold, so that a server's return is not undone by the news of its ejection.
+    constexpr std::chrono::milliseconds condemnationLifetime { 1500 };
     constexpr double recentAttempts = 0.3;
     constexpr double worthTelling = 0.2;
     constexpr std::size_t mostToldServers = 64;
+    constexpr int baselineConsecutiveErrors = 5;
+    constexpr std::chrono::seconds baselineEjection { 30 };
 
     bool isFresh(const PeerDigest& digest, MonotonicTime now) { return now - digest.heardAt < digestLifetime; }
 
@@ -192,28 +196,55 @@
         const auto peers = testimonies(serviceHash, serverHash(service.id, server.id), now);
         const Testimony own { m_settings.zone, serverRecord.counts, record.counts };
         serverRecord.judgement = judge(server.zone, own, recent ? serverRecord.consecutiveBad : 0, linkSuspect, peers);
+        if (serverRecord.standing != Standing::Serving)
+            continue;
+        if (serverRecord.judgement.condemnedByFleet)
+            serverRecord.condemnedByFleetAt = now;
+        else if (now - serverRecord.recovery.returnedAt > internal::condemnationLifetime)
+            serverRecord.judgement.condemnedByFleet = condemnedElsewhere(server.zone, serverHash(service.id, server.id), now);
     }
 }
 
+bool DetectionState::isCondemned(const Service& service, const ServerRecord& record) const
+{
+    if (record.pin)
+        return record.pin->kind == Pin::Kind::Ejected;
+    if (m_settings.strategy == DispatchStrategy::RoundRobin || service.mode == EjectionMode::Off)
+        return false;
+    if (m_settings.strategy == DispatchStrategy::ConsecutiveErrors)
+        return record.consecutiveBad >= internal::baselineConsecutiveErrors;
+    const bool byEvidence = record.judgement.condemnedOnOwnPath || record.judgement.condemnedByFleet;
+    return byEvidence && (service.mode == EjectionMode::Automatic || record.confirmed);
+}
+
+bool DetectionState::isCleared(const Service& service, const ServerRecord& record, MonotonicTime now) const
+{
+    if (record.pin)
+        return record.pin->kind == Pin::Kind::Serving;
+    if (service.mode == EjectionMode::Off)
+        return true;
+    if (m_settings.strategy == DispatchStrategy::ConsecutiveErrors)
+        return now - record.ejectedAt >= internal::baselineEjection;
+    return passedProbes(record.recovery);
+}
+
 ServerCondition DetectionState::conditionOf(const Service& service, const BackendServer& server, ServerRecord& record, MonotonicTime now) const
 {
     const ServerHash hash = serverHash(service.id, server.id);
     if (record.pin && now >= record.pin->expiresAt)
         record.pin.reset();
     const bool pinnedServing = record.pin && record.pin->kind == Pin::Kind::Serving;
-    const bool pinnedEjected = record.pin && record.pin->kind == Pin::Kind::Ejected;
     record.saidLeaving = !pinnedServing && (record.saidLeaving || leavingElsewhere(hash, now));
     const bool byEvidence = record.judgement.condemnedOnOwnPath || record.judgement.condemnedByFleet;
     record.proposed = service.mode == EjectionMode::Propose && byEvidence && record.standing == Standing::Serving;
-    const bool decided = service.mode == EjectionMode::Automatic || (service.mode == EjectionMode::Propose && record.confirmed);
     ServerCondition condition;
     condition.slots = server.slots;
     condition.leaving = server.leaving || record.saidLeaving;
     condition.reachable = record.reachable;
     condition.warm = shareAt(record.recovery, now);
     condition.ejected = record.standing == Standing::Ejected;
-    condition.condemned = !pinnedServing && (pinnedEjected || (byEvidence && decided));
-    condition.cleared = pinnedServing || (!pinnedEjected && (passedProbes(record.recovery) || service.mode == EjectionMode::Off));
+    condition.condemned = isCondemned(service, record);
+    condition.cleared = isCleared(service, record, now);
     condition.badness = record.judgement.badness + (record.standing == Standing::Ejected ? 0 : record.consecutiveBad);
     condition.ejectedElsewhere = announcedElsewhere(hash, now);
     return condition;
@@ -227,9 +258,10 @@
     record.rule = outcome.rule == EjectionRule::Unchanged && record.proposed && !record.confirmed ? EjectionRule::Proposed : outcome.rule;
     if (before != record.standing) {
         journalChange(service, server, record, before);
-        if (record.standing == Standing::Ejected)
+        if (record.standing == Standing::Ejected) {
+            record.ejectedAt = now;
             beginHold(record.recovery, now);
-        else if (before == Standing::Ejected)
+        } else if (before == Standing::Ejected)
             beginReturn(record.recovery, outcome.rule == EjectionRule::Cleared, now);
         if (record.standing == Standing::Serving) {
             record.counts = {};
@@ -263,6 +295,21 @@
     return static_cast<std::size_t>(std::count_if(m_digests.begin(), m_digests.end(), announces)) >= internal::announcersThatCount;
 }
 
+// Hosts that eject send a server nothing more, so that the last ones would wait long for evidence of their own. They
+// follow several hosts that the same evidence convinced; a condemnation that was only followed is not passed on.
+bool DetectionState::condemnedElsewhere(const ZoneId& serverZone, ServerHash server, MonotonicTime now) const
+{
+    std::set<ZoneId> zones;
+    std::size_t hosts = 0;
+    for (const auto& [host, digest] : m_digests) {
+        if (digest.linkSuspect || now - digest.heardAt >= internal::condemnationLifetime || !internal::contains(digest.condemned, server))
+            continue;
+        ++hosts;
+        zones.insert(digest.zone);
+    }
+    return hosts >= internal::announcersThatCount && (zones.size() >= 2 || zones.contains(serverZone));
+}
+
 bool DetectionState::leavingElsewhere(ServerHash server, MonotonicTime now) const
 {
     return std::any_of(m_digests.begin(), m_digests.end(), [&](const auto& entry) {
@@ -274,7 +321,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const MonotonicTime now = m_clock.now();
-    PeerDigest digest { m_settings.id, m_settings.zone, now, m_linkSuspect, {}, {}, {}, {} };
+    PeerDigest digest { m_settings.id, m_settings.zone, now, m_linkSuspect, {}, {}, {}, {}, {} };
     std::vector<std::pair<double, std::pair<ServerHash, EvidenceCounts>>> worst;
     for (auto& [service, record] : m_services) {
         fade(record.counts, now);
@@ -290,6 +337,8 @@
             anything = anything || complains || answersComplaint;
             if (serverRecord.standing == Standing::Ejected)
                 digest.ejected.push_back(hash);
+            if (now - serverRecord.condemnedByFleetAt < internal::condemnationLifetime)
+                digest.condemned.push_back(hash);
             if (serverRecord.saidLeaving)
                 digest.leaving.push_back(hash);
         }
@@ -305,7 +354,7 @@
 
 void DetectionState::serve(const FleetSnapshot& snapshot)
 {
-    if (!snapshot.tables)
+    if (!snapshot.tables || m_settings.strategy != DispatchStrategy::Evidence)
         return;
     const std::lock_guard lock(m_mutex);
     const MonotonicTime now = m_clock.now();
--- a/packages/detection/lacewingsail/src/Detection/DetectionState.h
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.h
@@ -78,6 +78,8 @@
         bool proposed = false;
         Standing standing = Standing::Serving;
         EjectionRule rule = EjectionRule::Unchanged;
+        MonotonicTime ejectedAt {};
+        MonotonicTime condemnedByFleetAt {};
         Recovery recovery;
         Judgement judgement;
         std::optional<Pin> pin;
@@ -94,10 +96,13 @@
     bool accusedElsewhere(ServerHash) const;
     void judgeServers(const Service&, ServiceRecord&, bool linkSuspect, MonotonicTime now);
     std::vector<Testimony> testimonies(std::uint64_t service, ServerHash, MonotonicTime now) const;
+    bool isCondemned(const Service&, const ServerRecord&) const;
+    bool isCleared(const Service&, const ServerRecord&, MonotonicTime now) const;
     ServerCondition conditionOf(const Service&, const BackendServer&, ServerRecord&, MonotonicTime now) const;
     void apply(const Service&, const BackendServer&, ServerRecord&, const EjectionOutcome&, MonotonicTime now);
     void journalChange(const Service&, const BackendServer&, const ServerRecord&, Standing before);
     bool announcedElsewhere(ServerHash, MonotonicTime now) const;
+    bool condemnedElsewhere(const ZoneId& serverZone, ServerHash, MonotonicTime now) const;
     bool leavingElsewhere(ServerHash, MonotonicTime now) const;
 
     const HostSettings& m_settings;
--- a/packages/detection/lacewingsail/src/Detection/EvidencePeers.cpp
+++ b/packages/detection/lacewingsail/src/Detection/EvidencePeers.cpp
@@ -16,6 +16,7 @@
     constexpr int mostTalliesTaken = 256;
     constexpr std::chrono::milliseconds tellTimeout { 400 };
     constexpr double tenths = 10;
+    constexpr int quietRoundsBetweenRepeats = 4;
 
     void write(protocol::EvidenceTally& tally, std::uint64_t subject, const EvidenceCounts& counts)
     {
@@ -39,6 +40,8 @@
             message.add_ejected(server);
         for (const ServerHash server : digest.leaving)
             message.add_leaving(server);
+        for (const ServerHash server : digest.condemned)
+            message.add_condemned(server);
         return message;
     }
 
@@ -55,6 +58,11 @@
         return result;
     }
 
+    std::vector<ServerHash> serversOf(const google::protobuf::RepeatedField<std::uint64_t>& servers)
+    {
+        return { servers.begin(), servers.begin() + std::min(servers.size(), mostTalliesTaken) };
+    }
+
     PeerDigest digestOf(const protocol::EvidenceDigest& message, MonotonicTime now)
     {
         PeerDigest digest;
@@ -64,11 +72,21 @@
         digest.linkSuspect = message.link_suspect();
         digest.services = countsOf(message.services(), now);
         digest.servers = countsOf(message.servers(), now);
-        digest.ejected.assign(message.ejected().begin(), message.ejected().begin() + std::min(message.ejected_size(), mostTalliesTaken));
-        digest.leaving.assign(message.leaving().begin(), message.leaving().begin() + std::min(message.leaving_size(), mostTalliesTaken));
+        digest.ejected = serversOf(message.ejected());
+        digest.leaving = serversOf(message.leaving());
+        digest.condemned = serversOf(message.condemned());
         return digest;
     }
 
+    // Grows with news only: fading counts are no news.
+    std::uint64_t newsIn(const protocol::EvidenceDigest& message)
+    {
+        std::uint64_t failures = 0;
+        for (const auto& tally : message.servers())
+            failures += tally.bad() + tally.slow();
+        return failures + static_cast<std::uint64_t>(message.ejected_size() + message.leaving_size() + message.condemned_size()) * static_cast<std::uint64_t>(tenths);
+    }
+
     bool saysSomething(const protocol::EvidenceDigest& message)
     {
         return message.servers_size() > 0 || message.ejected_size() > 0 || message.leaving_size() > 0;
@@ -130,6 +148,8 @@
     int underWay = 0;
     std::size_t nextPeer = 0;
     bool saidSomething = false;
+    std::uint64_t newsBefore = 0;
+    int quietRounds = 0;
 
     void tell(const Host& peer, const protocol::EvidenceDigest& message)
     {
@@ -181,6 +201,12 @@
     self.saidSomething = something;
     if (!worthIt)
         return;
+    const std::uint64_t news = internal::newsIn(message);
+    const bool isNews = news > self.newsBefore || !something;
+    self.newsBefore = news;
+    if (!isNews && ++self.quietRounds < internal::quietRoundsBetweenRepeats)
+        return;
+    self.quietRounds = 0;
     const auto peers = self.membership.peers();
     const std::size_t count = std::min(peers.size(), internal::peersPerRound);
     for (std::size_t step = 0; step < count; ++step)
--- a/packages/policy/lacewingsail/src/Policy/Choice.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Choice.cpp
@@ -62,6 +62,14 @@
 
 } // namespace internal
 
+std::optional<std::size_t> chooseInTurn(std::span<const Candidate> candidates, std::uint64_t turn)
+{
+    const std::size_t count = internal::countOf(candidates, internal::eligible);
+    if (count == 0)
+        return std::nullopt;
+    return internal::positionOf(candidates, internal::eligible, turn % count);
+}
+
 std::optional<std::size_t> chooseBackendServer(std::span<const Candidate> candidates, std::uint64_t random)
 {
     if (const auto near = internal::betterOfTwo(candidates, internal::eligibleNear, random))
--- a/packages/policy/lacewingsail/src/Policy/Choice.h
+++ b/packages/policy/lacewingsail/src/Policy/Choice.h
@@ -31,4 +31,8 @@
 /// \returns the position in \p candidates, or nothing if none may get the request.
 std::optional<std::size_t> chooseBackendServer(std::span<const Candidate> candidates, std::uint64_t random);
 
+/// \brief Chooses each server in turn, whatever its load; a baseline for experiments.
+/// \param turn a number that grows by one with each choice.
+std::optional<std::size_t> chooseInTurn(std::span<const Candidate> candidates, std::uint64_t turn);
+
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/Detection.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Detection.cpp
@@ -8,12 +8,12 @@
 
 namespace internal {
 
-    constexpr std::chrono::duration<double> evidenceHalfLife { 3 };
+    constexpr std::chrono::duration<double> evidenceHalfLife { 5 };
     constexpr std::chrono::duration<double> latencyHalfLife { 10 };
     constexpr std::chrono::milliseconds shortestStallBound { 100 };
     constexpr std::chrono::milliseconds stallBoundBeforeEvidence { 1000 };
     constexpr std::chrono::milliseconds smallestSlowness { 20 };
-    constexpr double fewestLatencies = 20;
+    constexpr double fewestLatencies = 10;
     constexpr double stallFactorOfMedian = 8;
     constexpr double stallFactorOfTail = 3;
     constexpr double slowFactorOfMedian = 4;
@@ -23,9 +23,9 @@
     // Failures are expected at this rate even where nothing is wrong.
     constexpr double leastExpectedBad = 0.002;
     constexpr double leastExpectedSlow = 0.02;
-    constexpr double deviations = 5;
-    constexpr double fewestFailures = 3;
-    constexpr double leastBadShare = 0.15;
+    constexpr double deviations = 3.5;
+    constexpr double fewestFailures = 2;
+    constexpr double leastBadShare = 0.1;
     constexpr double leastSlowShare = 0.5;
     constexpr int mostConsecutiveBad = 3;
     constexpr int fewestAccusers = 2;
--- a/packages/policy/lacewingsail/src/Policy/Detection.h
+++ b/packages/policy/lacewingsail/src/Policy/Detection.h
@@ -74,6 +74,8 @@
     std::map<ServerHash, EvidenceCounts> servers;
     std::vector<ServerHash> ejected;
     std::vector<ServerHash> leaving;
+    /// Servers that the evidence of several hosts condemned there a moment ago.
+    std::vector<ServerHash> condemned;
 };
 
 /// \brief One host's word on a server and on the rest of its service.
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -77,7 +77,8 @@
             : m_state(std::make_shared<State>(request.thread.context))
         {
             const std::chrono::microseconds bound(target.timing->stallBound.load(std::memory_order_relaxed));
-            if (begunAt + bound >= request.deadline)
+            const bool watches = request.thread.services.settings.strategy == DispatchStrategy::Evidence;
+            if (!watches || begunAt + bound >= request.deadline)
                 return;
             m_state->timer.expires_at(begunAt + bound);
             m_state->timer.async_wait([state = m_state, &request, &target, &stream, begunAt](const boost::system::error_code& error) {
@@ -132,7 +133,8 @@
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(request.thread.services.clock.now() - begunAt);
     if (outcome == AttemptOutcome::Leaving)
         target.load->leaving.store(true, std::memory_order_relaxed);
-    if (outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Stalled)
+    // A stall is left to the detection: a choice that shuns the server would keep the evidence from it.
+    if (outcome == AttemptOutcome::Answered)
         smoothLatency(*target.load, latency);
     request.thread.services.evidence.observe({ target.service->id, target.server->id, outcome, latency, target.probe, afterStall });
 }
--- a/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
@@ -54,6 +54,14 @@
         return candidates;
     }
 
+    std::optional<std::size_t> choose(RequestContext& request, std::size_t service, const TriedServers& tried)
+    {
+        const auto candidates = candidatesOf(request, service, tried);
+        if (request.thread.services.settings.strategy != DispatchStrategy::Evidence)
+            return chooseInTurn(candidates, request.thread.choices++);
+        return chooseBackendServer(candidates, request.thread.random());
+    }
+
     // An ejected server that is due for a probe gets a request that may be repeated elsewhere.
     std::optional<std::size_t> probeTarget(const RequestContext& request, std::size_t service)
     {
@@ -110,7 +118,7 @@
     AttemptResult result = UnsentAttempt().refuse(ResultCode::NoBackendServer);
     for (int count = 0; count < mostAttempts; ++count) {
         const auto probe = count == 0 && request.route->repeatable && request.avoided.empty() ? probeTarget(request, service) : std::nullopt;
-        const auto chosen = probe ? probe : chooseBackendServer(candidatesOf(request, service, tried), request.thread.random());
+        const auto chosen = probe ? probe : choose(request, service, tried);
         if (!chosen)
             break;
         tried.add(*chosen);
--- a/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
@@ -47,6 +47,8 @@
     LatencyFamily times;
     /// Reused by every choice of a backend server, so that a choice allocates nothing.
     std::vector<Candidate> candidates;
+    /// Choices made so far, for the strategies that take each server in turn.
+    std::uint64_t choices = 0;
 };
 
 /// \brief A request from its arrival to its answer.
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -55,6 +55,18 @@
         return limits;
     }
 
+    DispatchStrategy readStrategy(JsonReader& reader)
+    {
+        const std::string name = reader.text("dispatch_strategy", "evidence");
+        if (name == "round-robin")
+            return DispatchStrategy::RoundRobin;
+        if (name == "consecutive-errors")
+            return DispatchStrategy::ConsecutiveErrors;
+        if (name != "evidence")
+            reader.problem("dispatch_strategy", "must be one of evidence, round-robin, consecutive-errors");
+        return DispatchStrategy::Evidence;
+    }
+
 } // namespace internal
 
 std::optional<HostSettings> parseSettings(std::string_view json, Problems& problems)
@@ -79,6 +91,7 @@
         reader.problem("fleet_secret", "must have at least 16 characters");
     settings.keyStalenessBound = internal::readTimeout(reader, "key_staleness_ms", settings.keyStalenessBound);
     settings.logRetention = std::chrono::milliseconds(reader.integer("log_retention_ms", internal::shortestRetentionMilliseconds, internal::longestRetentionMilliseconds, settings.logRetention.count()));
+    settings.strategy = internal::readStrategy(reader);
     if (const auto* limits = reader.field("caller_limits", false))
         settings.limits = internal::readLimits(*limits, "caller_limits", problems);
     if (const auto* bookings = reader.field("bookings", false))
--- a/packages/world/lacewingsail/src/World/Settings.h
+++ b/packages/world/lacewingsail/src/World/Settings.h
@@ -26,6 +26,16 @@
     std::chrono::milliseconds appendInterval { 100 };
 };
 
+/// \brief How backend servers are chosen and ejected. The others serve as baselines in experiments.
+enum class DispatchStrategy {
+    /// Evidence of all hosts, the floor, choice by load and latency, stalls broken off.
+    Evidence,
+    /// Each server in turn; nothing is ejected.
+    RoundRobin,
+    /// Each server in turn; a host alone ejects a server after several failures in a row, for a fixed time.
+    ConsecutiveErrors,
+};
+
 /// \brief What a process of the fleet learns from its settings file.
 struct HostSettings {
     HostId id;
@@ -49,6 +59,7 @@
     /// How long the platform's log keeps a record.
     std::chrono::milliseconds logRetention { 24 * 3'600'000 };
     BookingLimits bookings;
+    DispatchStrategy strategy = DispatchStrategy::Evidence;
 };
 
 } // namespace lacewingsail
