--- a/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
@@ -15,6 +15,7 @@
     constexpr double recentAttempts = 0.3;
     constexpr double worthTelling = 0.2;
     constexpr std::size_t mostToldServers = 64;
+    constexpr std::uint64_t answersOfTheRest = 3;
     constexpr int baselineConsecutiveErrors = 5;
     constexpr std::chrono::seconds baselineEjection { 30 };
 
@@ -69,7 +70,12 @@
     }
     count(server.counts, evidenceClass, now);
     count(service.counts, evidenceClass, now);
+    ++(evidenceClass == EvidenceClass::Good ? service.good : service.bad);
     if (evidenceClass == EvidenceClass::Bad) {
+        if (server.consecutiveBad == 0) {
+            server.goodBefore = service.good;
+            server.badBefore = service.bad;
+        }
         ++server.consecutiveBad;
         server.lastBadAt = now;
     } else {
@@ -180,6 +186,17 @@
     return result;
 }
 
+// Failures in a row while the rest of the service answered; none if the rest failed too.
+int DetectionState::failuresAlone(const ServiceRecord& service, const ServerRecord& server, MonotonicTime now)
+{
+    if (server.consecutiveBad == 0 || now - server.lastBadAt >= internal::consecutiveWindow)
+        return 0;
+    const std::uint64_t goodSince = service.good - server.goodBefore;
+    const std::uint64_t badSince = service.bad - server.badBefore - static_cast<std::uint64_t>(server.consecutiveBad - 1);
+    const bool restAnswers = goodSince >= internal::answersOfTheRest && goodSince > internal::answersOfTheRest * badSince;
+    return restAnswers ? server.consecutiveBad : 0;
+}
+
 void DetectionState::judgeServers(const Service& service, ServiceRecord& record, bool linkSuspect, MonotonicTime now)
 {
     fade(record.counts, now);
@@ -192,10 +209,9 @@
             serverRecord.consecutiveBad = 0;
         }
         fade(serverRecord.counts, now);
-        const bool recent = now - serverRecord.lastBadAt < internal::consecutiveWindow;
         const auto peers = testimonies(serviceHash, serverHash(service.id, server.id), now);
         const Testimony own { m_settings.zone, serverRecord.counts, record.counts };
-        serverRecord.judgement = judge(server.zone, own, recent ? serverRecord.consecutiveBad : 0, linkSuspect, peers);
+        serverRecord.judgement = judge(server.zone, own, failuresAlone(record, serverRecord, now), linkSuspect, peers);
         if (serverRecord.standing != Standing::Serving)
             continue;
         if (serverRecord.judgement.condemnedByFleet)
--- a/packages/detection/lacewingsail/src/Detection/DetectionState.h
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.h
@@ -71,6 +71,9 @@
         EvidenceCounts counts;
         int consecutiveBad = 0;
         MonotonicTime lastBadAt {};
+        /// What the service had answered well and badly when the failures in a row began.
+        std::uint64_t goodBefore = 0;
+        std::uint64_t badBefore = 0;
         bool reachable = true;
         /// Its answer to this host or to another said so. Stands until the server is configured anew or pinned.
         bool saidLeaving = false;
@@ -87,6 +90,8 @@
     struct ServiceRecord {
         EvidenceCounts counts;
         UsualLatency usual;
+        std::uint64_t good = 0;
+        std::uint64_t bad = 0;
         std::map<BackendServerId, ServerRecord> servers;
     };
 
@@ -95,6 +100,7 @@
     bool suspectsLink(MonotonicTime now);
     bool accusedElsewhere(ServerHash) const;
     void judgeServers(const Service&, ServiceRecord&, bool linkSuspect, MonotonicTime now);
+    static int failuresAlone(const ServiceRecord&, const ServerRecord&, MonotonicTime now);
     std::vector<Testimony> testimonies(std::uint64_t service, ServerHash, MonotonicTime now) const;
     bool isCondemned(const Service&, const ServerRecord&) const;
     bool isCleared(const Service&, const ServerRecord&, MonotonicTime now) const;
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -50,6 +50,7 @@
     std::unique_ptr<LogFollower> configurationFollower;
     std::unique_ptr<LogFollower> withdrawalFollower;
     std::unique_ptr<LogKeeper> logKeeper;
+    EjectionApi ejections { detection, clock };
     std::unique_ptr<OperatorApi> operatorApi;
     std::unique_ptr<EvidencePeers> evidencePeers;
     std::unique_ptr<DetectionController> detectionController;
@@ -110,7 +111,7 @@
     withdrawalFollower = std::make_unique<LogFollower>(std::make_unique<HttpLogService>(settings.log), withdrawalStream, clock, withdrawalCallbacks());
     configurationPeers->start();
     logKeeper = std::make_unique<LogKeeper>(LogKeeperParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, journal }, std::make_unique<HttpLogService>(settings.log));
-    operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining });
+    operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining, ejections });
     evidencePeers = std::make_unique<EvidencePeers>(settings, detection, *membership, channels, metrics);
     detectionController = std::make_unique<DetectionController>(DetectionServices {
         detection, evidence, *evidencePeers, [this] { publisher.updateStandings(); }, [this] { return snapshot.current(); } });
--- a/packages/host/lacewingsail/src/Host/ForwardDeclarations.h
+++ b/packages/host/lacewingsail/src/Host/ForwardDeclarations.h
@@ -2,6 +2,7 @@
 
 namespace lacewingsail {
 
+class EjectionApi;
 class EntryHost;
 class OperatorApi;
 class SnapshotPublisher;
--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -30,6 +30,11 @@
         return asJson(entry.httpStatus, json::object { { "code", static_cast<int>(code) }, { "name", entry.name }, { "message", entry.meaning } });
     }
 
+    HttpResponse confirmation(ResultCode code)
+    {
+        return code == ResultCode::Ok ? asJson(200, json::object { { "taken", true } }) : failure(code);
+    }
+
     json::array servicesOf(const FleetSnapshot& snapshot)
     {
         json::array services;
@@ -94,6 +99,10 @@
         return configuration();
     if (request.method == "POST" && path == "/drain")
         return drain();
+    if (request.method == "POST" && path == "/pins")
+        return internal::confirmation(m_view.ejections.pin(request.body));
+    if (request.method == "POST" && path == "/confirmations")
+        return internal::confirmation(m_view.ejections.confirm(request.body));
     return internal::failure(ResultCode::NoRoute);
 }
 
@@ -112,6 +121,7 @@
     status["draining"] = m_view.draining.load();
     status["links"] = internal::linksOf(m_view.membership);
     status["services"] = internal::servicesOf(*snapshot);
+    status["ejections"] = m_view.ejections.reports();
     return internal::asJson(200, status);
 }
 
--- a/packages/host/lacewingsail/src/Host/OperatorApi.h
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EjectionApi.h"
+
 #include <lacewingsail/ConfigurationSync.h>
 #include <lacewingsail/Http.h>
 #include <lacewingsail/Membership.h>
@@ -21,6 +23,7 @@
     const Metrics& metrics;
     Journal& journal;
     const std::atomic<bool>& draining;
+    const EjectionApi& ejections;
 };
 
 /// \brief Answers the operators' requests: health, readiness and metrics to anyone, the rest with the fleet secret.
--- a/packages/policy/lacewingsail/src/Policy/Choice.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Choice.cpp
@@ -1,14 +1,24 @@
 #include <lacewingsail/Policy.h>
 
+#include <algorithm>
+
 namespace lacewingsail {
 
 namespace internal {
 
+    // One choice in this many takes the first drawn, so that every server is measured now and then.
+    constexpr std::uint64_t choicesPerExploration = 8;
+
     bool eligible(const Candidate& candidate) { return candidate.serving && !candidate.tried; }
 
-    bool hasRoom(const Candidate& candidate) { return candidate.inFlight < candidate.slots.value; }
+    // The report is older than the own count, which in turn knows nothing of the other hosts.
+    int loadOf(const Candidate& candidate) { return std::max(candidate.inFlight, candidate.reported); }
+
+    bool hasRoom(const Candidate& candidate) { return !candidate.backedOff && loadOf(candidate) < candidate.slots.value; }
+
+    bool eligibleWithRoom(const Candidate& candidate) { return eligible(candidate) && hasRoom(candidate); }
 
-    bool eligibleNear(const Candidate& candidate) { return eligible(candidate) && candidate.sameZone && hasRoom(candidate); }
+    bool eligibleNear(const Candidate& candidate) { return eligibleWithRoom(candidate) && candidate.sameZone; }
 
     template <typename Predicate>
     std::size_t countOf(std::span<const Candidate> candidates, Predicate predicate)
@@ -39,9 +49,10 @@
     bool lessLoaded(const Candidate& left, const Candidate& right)
     {
         // Load is compared as a share of the slots, without dividing.
-        const auto leftLoad = static_cast<std::int64_t>(left.inFlight) * right.slots.value;
-        const auto rightLoad = static_cast<std::int64_t>(right.inFlight) * left.slots.value;
-        return leftLoad != rightLoad ? leftLoad < rightLoad : left.latency < right.latency;
+        const auto leftLoad = static_cast<std::int64_t>(loadOf(left)) * right.slots.value;
+        const auto rightLoad = static_cast<std::int64_t>(loadOf(right)) * left.slots.value;
+        // Small differences in latency are chance; a server that always lost by them would never be measured again.
+        return leftLoad != rightLoad ? leftLoad < rightLoad : left.latency * 2 < right.latency;
     }
 
     template <typename Predicate>
@@ -56,7 +67,8 @@
             return first;
         const std::size_t step = 1 + (random >> 32) % (count - 1);
         const std::size_t second = positionOf(candidates, predicate, (firstOrdinal + step) % count);
-        const std::size_t better = lessLoaded(candidates[second], candidates[first]) ? second : first;
+        const bool explores = (random >> 24) % choicesPerExploration == 0 && hasRoom(candidates[first]);
+        const std::size_t better = !explores && lessLoaded(candidates[second], candidates[first]) ? second : first;
         return declines(candidates[better], random) ? first + second - better : better;
     }
 
@@ -74,6 +86,8 @@
 {
     if (const auto near = internal::betterOfTwo(candidates, internal::eligibleNear, random))
         return near;
+    if (const auto roomy = internal::betterOfTwo(candidates, internal::eligibleWithRoom, random))
+        return roomy;
     return internal::betterOfTwo(candidates, internal::eligible, random);
 }
 
--- a/packages/policy/lacewingsail/src/Policy/Choice.h
+++ b/packages/policy/lacewingsail/src/Policy/Choice.h
@@ -14,6 +14,10 @@
     /// Requests that this host has with the server now.
     int inFlight = 0;
     SlotCount slots;
+    /// Requests that the server last said it has, those of other hosts included.
+    int reported = 0;
+    /// It shed a request a moment ago.
+    bool backedOff = false;
     /// Smoothed time to answer.
     std::chrono::microseconds latency { 0 };
     bool sameZone = false;
--- a/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
+++ b/packages/policy/lacewingsail/src/Policy/FleetSnapshot.h
@@ -35,6 +35,10 @@
     std::atomic<int> inFlight { 0 };
     /// Smoothed time to answer, in microseconds.
     std::atomic<std::int64_t> latency { 0 };
+    /// Requests that the server last said it has, those of other hosts included.
+    std::atomic<int> reported { 0 };
+    /// Until then the server gets no request that another one can take, since it shed one. Nanoseconds of the host's clock.
+    std::atomic<std::int64_t> backedOffUntil { 0 };
     /// Set as soon as anything says that the server is leaving; requests that hold an older snapshot see it too.
     std::atomic<bool> leaving { false };
     /// Requests that may go to the server although it is ejected, to try it.
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -1,6 +1,7 @@
 #include "Attempt.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace lacewingsail::internal {
 
@@ -10,6 +11,9 @@
     constexpr std::chrono::milliseconds connectTimeout { 500 };
     // Each answer moves the smoothed latency by one part in this many.
     constexpr std::int64_t latencySmoothing = 8;
+    constexpr int mostReported = 10'000;
+    constexpr std::chrono::milliseconds shedBackOff { 100 };
+    constexpr const char* loadField = "X-Load";
 
     http::request<http::string_body> messageFor(const RequestContext& request, const AttemptTarget& target)
     {
@@ -86,7 +90,7 @@
                     return;
                 state->stalled = true;
                 reportAttempt(request, target, AttemptOutcome::Stalled, begunAt);
-                if (request.route->repeatable && take(target.timing->retries)) {
+                if (request.route->repeatable && !target.last && take(target.timing->retries)) {
                     state->brokenOff = true;
                     stream.cancel();
                 }
@@ -118,6 +122,15 @@
         std::shared_ptr<State> m_state;
     };
 
+    // "inflight/slots"; this request, which has just ended, is not counted. What is no number leaves the report alone.
+    void takeReport(BackendServerLoad& load, std::string_view report)
+    {
+        int count = 0;
+        const auto [end, error] = std::from_chars(report.data(), report.data() + report.size(), count);
+        if (error == std::errc {} && end != report.data() + report.size() && *end == '/')
+            load.reported.store(std::clamp(count - 1, 0, mostReported), std::memory_order_relaxed);
+    }
+
     void smoothLatency(BackendServerLoad& load, std::chrono::microseconds latency)
     {
         // Two threads may lose one of two updates to each other; the average does not mind.
@@ -133,6 +146,10 @@
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(request.thread.services.clock.now() - begunAt);
     if (outcome == AttemptOutcome::Leaving)
         target.load->leaving.store(true, std::memory_order_relaxed);
+    if (outcome == AttemptOutcome::Shed) {
+        const MonotonicTime until = request.thread.services.clock.now() + shedBackOff;
+        target.load->backedOffUntil.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+    }
     // A stall is left to the detection: a choice that shuns the server would keep the evidence from it.
     if (outcome == AttemptOutcome::Answered)
         smoothLatency(*target.load, latency);
@@ -176,6 +193,8 @@
         reportAttempt(request, target, AttemptOutcome::Wrong, begunAt, false);
         co_return std::move(sent).fail(ResultCode::UpstreamWrongAnswer);
     }
+    const auto report = parser->get()[loadField];
+    takeReport(*target.load, { report.data(), report.size() });
     if (const auto notRun = parser->get()[notRunField]; !notRun.empty()) {
         reportAttempt(request, target, notRun == "leaving" ? AttemptOutcome::Leaving : AttemptOutcome::Shed, begunAt, stalled);
         co_return std::move(sent).refusedByServer(ResultCode::Overloaded);
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.h
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.h
@@ -55,6 +55,8 @@
     std::shared_ptr<ServiceTiming> timing;
     /// Whether the attempt tries an ejected server.
     bool probe = false;
+    /// Whether no further attempt follows, so that a stall is waited out.
+    bool last = false;
 };
 
 /// \brief Sends the request to one backend server and waits for the header of its answer.
--- a/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Dispatch.cpp
@@ -22,7 +22,7 @@
         std::ptrdiff_t m_count = 0;
     };
 
-    Candidate candidateFor(const RequestContext& request, std::size_t service, std::size_t server, bool tried)
+    Candidate candidateFor(const RequestContext& request, std::size_t service, std::size_t server, bool tried, MonotonicTime now)
     {
         const FleetSnapshot& snapshot = *request.snapshot;
         const BackendServer& configured = snapshot.tables->configuration->services[service].backendServers[server];
@@ -30,6 +30,8 @@
         Candidate candidate;
         candidate.inFlight = load.inFlight.load(std::memory_order_relaxed);
         candidate.slots = configured.slots;
+        candidate.reported = load.reported.load(std::memory_order_relaxed);
+        candidate.backedOff = now.time_since_epoch().count() < load.backedOffUntil.load(std::memory_order_relaxed);
         candidate.latency = std::chrono::microseconds(load.latency.load(std::memory_order_relaxed));
         candidate.sameZone = configured.zone == request.thread.services.settings.zone;
         candidate.share = snapshot.shares[service][server];
@@ -48,9 +50,10 @@
     {
         const auto& servers = request.snapshot->tables->configuration->services[service].backendServers;
         std::vector<Candidate>& candidates = request.thread.candidates;
+        const MonotonicTime now = request.thread.services.clock.now();
         candidates.clear();
         for (std::size_t server = 0; server < servers.size(); ++server)
-            candidates.push_back(candidateFor(request, service, server, tried.contains(server) || isAvoided(request, servers[server])));
+            candidates.push_back(candidateFor(request, service, server, tried.contains(server) || isAvoided(request, servers[server]), now));
         return candidates;
     }
 
@@ -123,6 +126,7 @@
             break;
         tried.add(*chosen);
         target = targetFor(request, service, *chosen, probe.has_value());
+        target.last = count + 1 == mostAttempts;
         result = co_await attempt(request, target);
         if (!mayTryAgain(request, result, target))
             break;
--- a/programs/lacewingctl/Command.h
+++ b/programs/lacewingctl/Command.h
@@ -50,6 +50,8 @@
 Outcome runExplain(const Invocation&);
 Outcome runWatch(const Invocation&);
 Outcome runDrain(const Invocation&);
+Outcome runConfirm(const Invocation&);
+Outcome runPin(const Invocation&);
 
 /// \returns the command that the first words name, or null.
 const Command* findCommand(const std::vector<std::string>& words);
--- a/programs/lacewingctl/Commands.cpp
+++ b/programs/lacewingctl/Commands.cpp
@@ -19,6 +19,8 @@
         Command { "explain", "TEXT", "show what hosts noted about a request, backend server, account or key", "", runExplain },
         Command { "watch", "", "print events of all hosts as they come", "", runWatch },
         Command { "drain", "HOST", "begin the planned stop of a host", "", runDrain },
+        Command { "confirm", "SERVICE SERVER", "confirm the proposed ejection of a backend server on every host", "", runConfirm },
+        Command { "pin", "SERVICE SERVER", "keep a backend server serving or ejected for a time, on every host", "as for", runPin },
     };
 
 } // namespace
--- a/programs/lacewingctl/Options.cpp
+++ b/programs/lacewingctl/Options.cpp
@@ -26,6 +26,8 @@
         OptionDescription { "account", 'A', "NAME", "client account", false },
         OptionDescription { "replaces", 'r', "N", "version that the file is based on; by default the one in force", false },
         OptionDescription { "no-wait", 'n', nullptr, "do not wait until the change is in force on every host", false },
+        OptionDescription { "as", 's', "STANDING", "serving (the default) or ejected", false },
+        OptionDescription { "for", 'f', "SECONDS", "how long a pin holds; 600 by default", false },
     };
 
     // What popt writes into: one entry for each description.
--- a/tests/DetectionStateTest.cpp
+++ b/tests/DetectionStateTest.cpp
@@ -58,6 +58,18 @@
     CHECK(lines[0].find("reversed_by=") != std::string::npos);
 }
 
+TEST_CASE_FIXTURE(DetectionStateFixture, "standing, every server begins to stall after a good time, ejects nobody")
+{
+    observe(0, AttemptOutcome::Answered, 10);
+    workWell();
+    for (int server = 0; server < 6; ++server) {
+        observe(server, AttemptOutcome::Stalled, 3);
+        decide();
+    }
+    for (std::size_t server = 1; server < 6; ++server)
+        CHECK(standing(server) == Standing::Serving);
+}
+
 TEST_CASE_FIXTURE(DetectionStateFixture, "standing, mode off, ejects nothing")
 {
     configuration.services.front().mode = EjectionMode::Off;
