--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -30,17 +30,9 @@
         return asJson(entry.httpStatus, json::object { { "code", static_cast<int>(code) }, { "name", entry.name }, { "message", entry.meaning } });
     }
 
-    const char* nameOf(Standing standing)
+    HttpResponse confirmation(ResultCode code)
     {
-        switch (standing) {
-        case Standing::Serving:
-            return "serving";
-        case Standing::Ejected:
-            return "ejected";
-        case Standing::Leaving:
-            return "leaving";
-        }
-        return "";
+        return code == ResultCode::Ok ? asJson(200, json::object { { "taken", true } }) : failure(code);
     }
 
     json::array servicesOf(const FleetSnapshot& snapshot)
@@ -53,7 +45,7 @@
             json::array servers;
             for (std::size_t server = 0; server < configured[service].backendServers.size(); ++server) {
                 servers.emplace_back(json::object { { "name", configured[service].backendServers[server].id.value() },
-                    { "standing", nameOf(snapshot.standings[service][server]) }, { "in_flight", snapshot.loads[service][server]->inFlight.load() } });
+                    { "standing", nameOf(snapshot.standings[service][server]) }, { "share_percent", snapshot.shares[service][server].value }, { "in_flight", snapshot.loads[service][server]->inFlight.load() } });
             }
             services.emplace_back(json::object { { "name", configured[service].id.value() }, { "floor_percent", configured[service].floor.value }, { "backend_servers", std::move(servers) } });
         }
@@ -118,6 +110,10 @@
         return configuration();
     if (request.method == "POST" && path == "/drain")
         return drain();
+    if (request.method == "POST" && path == "/pins")
+        return internal::confirmation(m_view.ejections.pin(request.body));
+    if (request.method == "POST" && path == "/confirmations")
+        return internal::confirmation(m_view.ejections.confirm(request.body));
     return internal::failure(ResultCode::NoRoute);
 }
 
@@ -138,6 +134,7 @@
     status["services"] = internal::servicesOf(*snapshot);
     if (m_slots)
         status["limit_slots"] = internal::slotsOf(m_slots());
+    status["ejections"] = m_view.ejections.reports();
     return internal::asJson(200, status);
 }
 
--- a/packages/host/lacewingsail/src/Host/OperatorApi.h
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "EjectionApi.h"
+
 #include <lacewingsail/ConfigurationSync.h>
 #include <lacewingsail/Http.h>
 #include <lacewingsail/Membership.h>
@@ -24,6 +26,7 @@
     const Metrics& metrics;
     Journal& journal;
     const std::atomic<bool>& draining;
+    const EjectionApi& ejections;
 };
 
 /// \brief The limit slots as a host sees them.
--- a/programs/lacewingctl/Command.h
+++ b/programs/lacewingctl/Command.h
@@ -51,6 +51,8 @@
 Outcome runWatch(const Invocation&);
 Outcome runDrain(const Invocation&);
 Outcome runFence(const Invocation&);
+Outcome runConfirm(const Invocation&);
+Outcome runPin(const Invocation&);
 
 /// \returns the command that the first words name, or null.
 const Command* findCommand(const std::vector<std::string>& words);
--- a/programs/lacewingctl/Commands.cpp
+++ b/programs/lacewingctl/Commands.cpp
@@ -20,6 +20,8 @@
         Command { "watch", "", "print events of all hosts as they come", "", runWatch },
         Command { "drain", "HOST", "begin the planned stop of a host", "", runDrain },
         Command { "fence", "HOST", "free the limit slots of a host whose process has ended", "stopped", runFence },
+        Command { "confirm", "SERVICE SERVER", "confirm the proposed ejection of a backend server on every host", "", runConfirm },
+        Command { "pin", "SERVICE SERVER", "keep a backend server serving or ejected for a time, on every host", "as for", runPin },
     };
 
 } // namespace
--- a/programs/lacewingctl/Options.cpp
+++ b/programs/lacewingctl/Options.cpp
@@ -26,7 +26,9 @@
         OptionDescription { "account", 'A', "NAME", "client account", false },
         OptionDescription { "replaces", 'r', "N", "version that the file is based on; by default the one in force", false },
         OptionDescription { "no-wait", 'n', nullptr, "do not wait until the change is in force on every host", false },
-        OptionDescription { "stopped", 's', nullptr, "state that the process has ended although its machine is silent", false },
+        OptionDescription { "stopped", 'S', nullptr, "state that the process has ended although its machine is silent", false },
+        OptionDescription { "as", 's', "STANDING", "serving (the default) or ejected", false },
+        OptionDescription { "for", 'f', "SECONDS", "how long a pin holds; 600 by default", false },
     };
 
     // What popt writes into: one entry for each description.
