--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -70,6 +70,8 @@
 
 void reportAttempt(RequestContext& request, const AttemptTarget& target, AttemptOutcome outcome, MonotonicTime begunAt)
 {
+    const bool surelyNotRun = outcome == AttemptOutcome::ConnectFailed || outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::Leaving;
+    request.mayHaveRun = request.mayHaveRun || !surelyNotRun;
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(request.thread.services.clock.now() - begunAt);
     request.thread.services.evidence.observe({ target.service->id, target.server->id, outcome, latency });
 }
--- a/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "CallerSession.h"
 
+#include "RawHeader.h"
 #include "Refusal.h"
 #include "RequestPath.h"
 
@@ -17,6 +18,7 @@
     constexpr std::chrono::seconds drainIdleTime { 2 };
     // A request that crosses the closing of its connection is read this long, so that it finds its refusal.
     constexpr std::chrono::milliseconds lingerTime { 500 };
+    constexpr std::size_t pieceBytes = 4096;
 
     using RequestParser = http::request_parser<http::string_body>;
 
@@ -92,38 +94,123 @@
         co_return wait->readable || caller.socket().available(ignored) > 0;
     }
 
-    // Says "not run" to a request that may be on its way, and reads on for a moment: closing at once would reset the
-    // connection and take the refusal with it.
-    net::awaitable<void> closeIdle(const SessionControl& control, beast::tcp_stream& caller)
+    // Reads on for a moment: closing at once would reset the connection and take the last answer with it.
+    net::awaitable<void> closeLingering(beast::tcp_stream& caller)
     {
-        if (control.draining)
-            co_await sendAnswer(caller, refusalBeforeAttempt(ResultCode::ShuttingDown, {}), true);
         boost::system::error_code error;
         caller.socket().shutdown(net::socket_base::shutdown_send, error);
-        std::array<char, 4096> discarded {};
+        std::array<char, pieceBytes> discarded {};
         caller.expires_after(lingerTime);
         while (!error)
             co_await caller.async_read_some(net::buffer(discarded), net::redirect_error(net::use_awaitable, error));
     }
 
-    net::awaitable<boost::system::error_code> readRequest(RequestThread& thread, beast::tcp_stream& caller, beast::flat_buffer& buffer, RequestParser& parser)
+    // Says "not run" to a request that may be on its way.
+    net::awaitable<void> closeIdle(const SessionControl& control, beast::tcp_stream& caller)
+    {
+        if (control.draining)
+            co_await sendAnswer(caller, refusalBeforeAttempt(ResultCode::ShuttingDown, {}), true);
+        co_await closeLingering(caller);
+    }
+
+    /// \brief Breaks off reads that take too long. The timeouts of the stream itself would close it, so that the
+    /// caller could not be told.
+    class ReadDeadline {
+    public:
+        ReadDeadline(beast::tcp_stream& caller, Duration timeout)
+            : m_timer(caller.get_executor(), timeout)
+            , m_state(std::make_shared<State>(State { &caller, false }))
+        {
+            caller.expires_never();
+            m_timer.async_wait([state = m_state](const boost::system::error_code& error) {
+                if (error || !state->caller)
+                    return;
+                state->passed = true;
+                state->caller->cancel();
+            });
+        }
+        ~ReadDeadline() { m_state->caller = nullptr; }
+        ReadDeadline(const ReadDeadline&) = delete;
+        ReadDeadline& operator=(const ReadDeadline&) = delete;
+
+        bool passed() const { return m_state->passed; }
+
+    private:
+        struct State {
+            beast::tcp_stream* caller;
+            bool passed;
+        };
+        net::steady_timer m_timer;
+        std::shared_ptr<State> m_state;
+    };
+
+    // Collects a whole header in the buffer and checks it as it came.
+    net::awaitable<ResultCode> readRawHeader(beast::tcp_stream& caller, beast::flat_buffer& buffer, std::size_t limit, boost::system::error_code& error)
+    {
+        for (;;) {
+            const std::string_view bytes(static_cast<const char*>(buffer.data().data()), buffer.size());
+            const std::size_t size = rawHeaderSize(bytes);
+            if (size != std::string_view::npos)
+                co_return size > limit ? ResultCode::HeaderTooLarge : checkRawHeader(bytes.substr(0, size));
+            if (bytes.size() > limit)
+                co_return ResultCode::HeaderTooLarge;
+            buffer.commit(co_await caller.async_read_some(buffer.prepare(pieceBytes), net::redirect_error(net::use_awaitable, error)));
+            if (error)
+                co_return ResultCode::Ok;
+        }
+    }
+
+    // Reads header and body; \param error set if the connection or the framing broke.
+    net::awaitable<ResultCode> readMessage(RequestThread& thread, beast::tcp_stream& caller, beast::flat_buffer& buffer, RequestParser& parser, boost::system::error_code& error)
     {
         const CallerLimits& limits = thread.services.settings.limits;
-        boost::system::error_code error;
         parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
         parser.body_limit(limits.bodyBytes);
-        caller.expires_after(limits.requestTimeout);
+        const ResultCode raw = co_await readRawHeader(caller, buffer, limits.headerBytes, error);
+        if (error || raw != ResultCode::Ok)
+            co_return raw;
         co_await http::async_read_header(caller, buffer, parser, net::redirect_error(net::use_awaitable, error));
         if (error)
-            co_return error;
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue") && checkRequestHeader(parser.get()) == ResultCode::Ok) {
+            co_return ResultCode::Ok;
+        if (const ResultCode code = checkRequestHeader(parser.get()); code != ResultCode::Ok)
+            co_return code;
+        if (parser.get().count(http::field::expect) != 0) {
             http::response<http::empty_body> proceed(http::status::continue_, 11);
             co_await http::async_write(caller, proceed, net::redirect_error(net::use_awaitable, error));
             if (error)
-                co_return error;
+                co_return ResultCode::Ok;
         }
         co_await http::async_read(caller, buffer, parser, net::redirect_error(net::use_awaitable, error));
-        co_return error;
+        co_return ResultCode::Ok;
+    }
+
+    /// \brief How the reading of a request ended.
+    enum class ReadEnd {
+        Whole,
+        /// The caller has been told why not.
+        Refused,
+        /// The caller has gone.
+        Gone,
+    };
+
+    net::awaitable<ReadEnd> readRequest(RequestThread& thread, beast::tcp_stream& caller, beast::flat_buffer& buffer, RequestParser& parser)
+    {
+        boost::system::error_code error;
+        ResultCode code = ResultCode::Ok;
+        {
+            const ReadDeadline deadline(caller, thread.services.settings.limits.requestTimeout);
+            code = co_await readMessage(thread, caller, buffer, parser, error);
+            if (error && deadline.passed())
+                error = beast::error::timeout;
+        }
+        if (error && !isCallersFault(error))
+            co_return ReadEnd::Gone;
+        if (error)
+            code = codeOf(error);
+        if (code == ResultCode::Ok)
+            co_return ReadEnd::Whole;
+        co_await sendAnswer(caller, refusalBeforeAttempt(code, {}), true);
+        co_return ReadEnd::Refused;
     }
 
     // Work for a caller who has gone is broken off if it may be repeated; otherwise its end still matters.
@@ -178,11 +265,12 @@
             co_return;
         }
         RequestParser parser;
-        const auto error = co_await readRequest(thread, caller, buffer, parser);
-        if (error) {
-            if (isCallersFault(error))
-                co_await sendAnswer(caller, refusalBeforeAttempt(codeOf(error), {}), true);
+        const ReadEnd end = co_await readRequest(thread, caller, buffer, parser);
+        if (end == ReadEnd::Gone)
             break;
+        if (end == ReadEnd::Refused) {
+            co_await closeLingering(caller);
+            co_return;
         }
         keep = co_await serveOne(thread, control, caller, parser);
     }
--- a/packages/proxy/lacewingsail/src/Proxy/HeaderRules.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/HeaderRules.cpp
@@ -53,6 +53,8 @@
         return ResultCode::MalformedRequest;
     if (countOf(header, http::field::host) != 1 || countOf(header, http::field::authorization) > 1)
         return ResultCode::MalformedRequest;
+    if (header.count(http::field::expect) != 0 && !beast::iequals(header[http::field::expect], "100-continue"))
+        return ResultCode::MalformedRequest;
     if (header.target().empty() || header.target().front() != '/')
         return ResultCode::MalformedRequest;
     return ResultCode::Ok;
@@ -76,6 +78,8 @@
     header.erase(http::field::content_length);
     header.erase(requestIdField);
     header.erase(deadlineField);
+    header.erase(codeField);
+    header.erase(executionField);
 }
 
 void stripForCaller(ResponseHeader& header)
--- /dev/null
+++ b/packages/proxy/lacewingsail/src/Proxy/RawHeader.cpp
@@ -0,0 +1,75 @@
+#include "RawHeader.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::size_t mostFields = 100;
+    constexpr std::string_view lineEnd = "\r\n";
+
+    bool isControl(char character)
+    {
+        const auto value = static_cast<unsigned char>(character);
+        return (value < 0x20 && character != '\t') || value == 0x7f;
+    }
+
+    bool isTokenCharacter(char character)
+    {
+        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+        const bool letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        return letter || (character >= '0' && character <= '9') || marks.find(character) != std::string_view::npos;
+    }
+
+    bool isRequestLine(std::string_view line)
+    {
+        return std::count(line.begin(), line.end(), ' ') == 2 && line.find('\t') == std::string_view::npos;
+    }
+
+    bool isFieldLine(std::string_view line)
+    {
+        const std::size_t colon = line.find(':');
+        if (colon == 0 || colon == std::string_view::npos)
+            return false;
+        const std::string_view name = line.substr(0, colon);
+        return std::all_of(name.begin(), name.end(), isTokenCharacter);
+    }
+
+} // namespace
+
+std::size_t rawHeaderSize(std::string_view bytes)
+{
+    std::size_t size = std::string_view::npos;
+    for (const std::string_view end : { std::string_view("\n\r\n"), std::string_view("\n\n") }) {
+        const std::size_t found = bytes.find(end);
+        if (found != std::string_view::npos)
+            size = std::min(size, found + end.size());
+    }
+    return size;
+}
+
+ResultCode checkRawHeader(std::string_view header)
+{
+    assert(!header.empty());
+    std::size_t lines = 0;
+    while (!header.empty()) {
+        const std::size_t end = header.find(lineEnd);
+        if (end == std::string_view::npos)
+            return ResultCode::MalformedRequest;
+        const std::string_view line = header.substr(0, end);
+        header.remove_prefix(end + lineEnd.size());
+        if (std::any_of(line.begin(), line.end(), isControl))
+            return ResultCode::MalformedRequest;
+        if (line.empty())
+            return lines > 0 && header.empty() ? ResultCode::Ok : ResultCode::MalformedRequest;
+        if (lines == 0 ? !isRequestLine(line) : !isFieldLine(line))
+            return ResultCode::MalformedRequest;
+        if (++lines > mostFields + 1)
+            return ResultCode::HeaderTooLarge;
+    }
+    return ResultCode::MalformedRequest;
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/proxy/lacewingsail/src/Proxy/RawHeader.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <lacewingsail/World.h>
+
+#include <cstddef>
+#include <string_view>
+
+namespace lacewingsail::internal {
+
+/// \returns the size of the header at the front of \p bytes with its empty line, or npos while that has not arrived.
+/// Bare line feeds end a header too, so that it can be refused at once.
+std::size_t rawHeaderSize(std::string_view bytes);
+
+/// \brief Checks what a tolerant parser would let through and another server might read differently: bare line ends,
+/// control characters, folded lines, spaces around field names, surplus spaces, too many fields.
+/// \returns ResultCode::Ok or the reason of the refusal.
+ResultCode checkRawHeader(std::string_view header);
+
+} // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestContext.h
@@ -72,6 +72,8 @@
     /// Breaks off the attempt under way; empty while there is none.
     std::function<void()> cancelAttempt;
     bool callerGone = false;
+    /// Whether an attempt ended that may have had an effect: from then on "not run" is no longer true.
+    bool mayHaveRun = false;
     /// Whether the caller's connection is closed after the answer; settled when the answer's header is made.
     bool closing = false;
     /// Backend servers that broke an answer to this request; they get no further attempt.
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -54,8 +54,6 @@
 
     net::awaitable<ResultCode> decide(RequestContext& request)
     {
-        if (const ResultCode code = checkRequestHeader(request.message); code != ResultCode::Ok)
-            co_return code;
         if (const ResultCode code = route(request); code != ResultCode::Ok)
             co_return code;
         if (const ResultCode code = identifyAccount(request); code != ResultCode::Ok)
@@ -122,12 +120,16 @@
 
     net::awaitable<bool> run(RequestContext& request, beast::tcp_stream& caller, BookingEnd& end)
     {
+        ResultCode broken = ResultCode::Ok;
         for (int asked = 1;; ++asked) {
             AttemptTarget target;
             AttemptResult result = co_await dispatch(request, target);
             // The connection of an attempt without an answer is gone.
             if (!std::holds_alternative<AnswerBegun>(result))
                 request.cancelAttempt = nullptr;
+            // The last attempt did not run, but one before it may have.
+            if (const auto* notRun = std::get_if<NotRun>(&result); notRun && request.mayHaveRun)
+                co_return co_await refuse(request, caller, OutcomeUnknown(broken == ResultCode::Ok ? notRun->code() : broken), target);
             if (const auto* notRun = std::get_if<NotRun>(&result)) {
                 end.settle(BookingResult::NotRun);
                 co_return co_await refuse(request, caller, *notRun, target);
@@ -137,6 +139,7 @@
             const RelayResult relayed = co_await relay(request, target, std::move(std::get<AnswerBegun>(result)), caller);
             if (relayed.answer)
                 end.settle(BookingResult::Answered, *relayed.answer);
+            broken = relayed.code;
             if (relayed.end == RelayEnd::NotBegun && mayAskAgain(request, target, asked))
                 continue;
             if (relayed.end == RelayEnd::NotBegun)
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.h
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.h
@@ -4,7 +4,7 @@
 
 namespace lacewingsail::internal {
 
-/// \brief Serves one request whose message has arrived whole: route, key, limit, backend server, answer.
+/// \brief Serves one request whose message has arrived whole and passed checkRequestHeader(): route, key, limit, backend server, answer.
 /// \returns whether the caller's connection may be kept.
 net::awaitable<bool> serveRequest(RequestContext&, beast::tcp_stream& caller);
 
--- a/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/SettingsCodec.cpp
@@ -2,6 +2,8 @@
 
 #include "JsonReader.h"
 
+#include <algorithm>
+
 namespace lacewingsail {
 
 namespace internal {
@@ -44,9 +46,8 @@
         return limits;
     }
 
-    BookingLimits readBookingLimits(const boost::json::value& value, const std::string& path, Problems& problems)
+    BookingLimits readBookingLimits(const boost::json::value& value, const std::string& path, BookingLimits limits, Problems& problems)
     {
-        BookingLimits limits;
         JsonReader reader(value, path, problems);
         limits.retention = std::chrono::milliseconds(reader.integer("retention_ms", shortestClaimRetentionMilliseconds, longestClaimRetentionMilliseconds, limits.retention.count()));
         limits.tableBytes = static_cast<std::size_t>(reader.integer("table_bytes", smallestBookingTable, largestBookingTable, static_cast<std::int64_t>(limits.tableBytes)));
@@ -81,8 +82,11 @@
     settings.logRetention = std::chrono::milliseconds(reader.integer("log_retention_ms", internal::shortestRetentionMilliseconds, internal::longestRetentionMilliseconds, settings.logRetention.count()));
     if (const auto* limits = reader.field("caller_limits", false))
         settings.limits = internal::readLimits(*limits, "caller_limits", problems);
+    settings.bookings.retention = std::min(settings.bookings.retention, settings.logRetention);
     if (const auto* bookings = reader.field("bookings", false))
-        settings.bookings = internal::readBookingLimits(*bookings, "bookings", problems);
+        settings.bookings = internal::readBookingLimits(*bookings, "bookings", settings.bookings, problems);
+    if (settings.bookings.retention > settings.logRetention)
+        reader.problem("bookings.retention_ms", "must not be longer than log_retention_ms");
     reader.finish();
     if (problems.size() != before)
         return std::nullopt;
