--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -54,6 +54,22 @@
         return parser.chunked() || parser.content_length() || !parser.need_eof();
     }
 
+    std::unique_ptr<EmptyParser> newParser(http::verb method)
+    {
+        auto parser = std::make_unique<EmptyParser>();
+        parser->header_limit(largestAnswerHeader);
+        parser->body_limit(boost::none);
+        parser->skip(method == http::verb::head);
+        return parser;
+    }
+
+    // An interim answer (1xx) precedes the answer itself. The fleet never asks to switch protocols.
+    bool isInterim(const EmptyParser& parser)
+    {
+        const unsigned status = parser.get().result_int();
+        return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
+    }
+
     AttemptOutcome outcomeOf(const boost::system::error_code& error, const RequestContext& request)
     {
         if (request.callerGone)
@@ -92,13 +108,12 @@
     SentAttempt sent = std::move(unsent).send();
     boost::system::error_code error;
     co_await http::async_write(connection->stream, message, net::redirect_error(net::use_awaitable, error));
-    auto parser = std::make_unique<EmptyParser>();
-    parser->header_limit(largestAnswerHeader);
-    parser->body_limit(boost::none);
-    if (message.method() == http::verb::head)
-        parser->skip(true);
-    if (!error)
-        co_await http::async_read_header(connection->stream, connection->buffer, *parser, net::redirect_error(net::use_awaitable, error));
+    std::unique_ptr<EmptyParser> parser;
+    do {
+        parser = newParser(message.method());
+        if (!error)
+            co_await http::async_read_header(connection->stream, connection->buffer, *parser, net::redirect_error(net::use_awaitable, error));
+    } while (!error && isInterim(*parser));
     if (error) {
         const AttemptOutcome outcome = outcomeOf(error, request);
         reportAttempt(request, target, outcome, begunAt);
--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -162,6 +162,12 @@
     }
 }
 
+TEST_CASE("attempt, interim answers before the answer, are passed over")
+{
+    const ProxyFixture fixture([](const std::string&, int) -> ScriptedBackend::Reply { return { "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + header(200, 5) + "whole", Then::GoOn }; });
+    CHECK(bodyOf(fixture.exchange(get)) == "whole");
+}
+
 TEST_CASE("relay, surplus bytes behind an answer, never reach the next caller")
 {
     ProxyFixture fixture([](const std::string&, int) -> ScriptedBackend::Reply { return { header(200, 2) + "ok" + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil", Then::GoOn }; });
