--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.cpp
@@ -32,11 +32,11 @@
     return lacewingsail::readFrom(m_reader);
 }
 
-bool ConfigurationState::foldPage(const LogPage& page)
+bool ConfigurationState::foldPage(LogOffset asked, const LogPage& page)
 {
     const std::lock_guard lock(m_mutex);
     const bool gapBefore = m_reader.gapEnd.has_value();
-    beginPage(m_reader, page.earliest);
+    beginPage(m_reader, asked, page.earliest);
     if (!gapBefore && m_reader.gapEnd)
         m_journal.record(Event("configuration-records-expired").with("read_up_to", internal::shown(m_reader.fold.position)).with("earliest", internal::shown(page.earliest)));
     bool sawCheckpoint = false;
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.h
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationState.h
@@ -40,9 +40,9 @@
     /// \returns where to read the stream `configuration` next.
     LogOffset readFrom() const;
 
-    /// \brief Folds a page of the stream `configuration`. A malformed record is journalled and skipped.
+    /// \brief Folds a page of the stream `configuration` that was asked to begin at \p asked. A malformed record is journalled and skipped.
     /// \returns whether the page held a checkpoint that a new reader can go on from.
-    bool foldPage(const LogPage&);
+    bool foldPage(LogOffset asked, const LogPage&);
 
     /// \brief Takes over a checkpoint from a peer if it is later than the own fold.
     /// \returns whether the fold moved on.
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/LogFollower.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/LogFollower.cpp
@@ -11,7 +11,7 @@
     LogFollowerCallbacks callbacksFor(LogFollower::Handler handler)
     {
         LogFollowerCallbacks callbacks;
-        callbacks.page = [handler = std::move(handler)](const LogPage& page) {
+        callbacks.page = [handler = std::move(handler)](LogOffset, const LogPage& page) {
             for (const LogRecord& record : page.records)
                 handler(record);
         };
@@ -57,16 +57,16 @@
             std::this_thread::sleep_for(internal::pauseAfterError);
             continue;
         }
-        take(page, askedAt);
+        take(position, page, askedAt);
         position = page.next;
         wait = page.records.empty() ? internal::longPoll : internal::noWait;
     }
 }
 
-void LogFollower::take(const LogPage& page, MonotonicTime askedAt)
+void LogFollower::take(LogOffset asked, const LogPage& page, MonotonicTime askedAt)
 {
     if (m_callbacks.page)
-        m_callbacks.page(page);
+        m_callbacks.page(asked, page);
     if (page.records.empty()) {
         m_everCaughtUp = true;
         // The answer may have lain in a buffer while this process was paused, so only the time of asking counts.
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/LogFollower.h
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/LogFollower.h
@@ -15,7 +15,8 @@
 struct LogFollowerCallbacks {
     /// Where to read next, given where the last page said to go on; follows the pages if empty.
     std::function<LogOffset(LogOffset next)> position;
-    std::function<void(const LogPage&)> page;
+    /// A page, and where it was asked to begin.
+    std::function<void(LogOffset asked, const LogPage&)> page;
     /// The whole stream had been read as of this instant.
     std::function<void(MonotonicTime asOf)> caughtUp;
 };
@@ -37,7 +38,7 @@
 
 private:
     void follow();
-    void take(const LogPage&, MonotonicTime askedAt);
+    void take(LogOffset asked, const LogPage&, MonotonicTime askedAt);
 
     const std::unique_ptr<LogService> m_log;
     const std::string m_stream;
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/Publication.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/Publication.cpp
@@ -57,10 +57,11 @@
     {
         for (;;) {
             std::error_code error;
-            const LogPage page = log.read(configurationStream, readFrom(reading.reader), noWait, error);
+            const LogOffset asked = readFrom(reading.reader);
+            const LogPage page = log.read(configurationStream, asked, noWait, error);
             if (error)
                 return error;
-            beginPage(reading.reader, page.earliest);
+            beginPage(reading.reader, asked, page.earliest);
             for (const LogRecord& record : page.records)
                 foldOne(reading, record);
             endPage(reading.reader, page.next);
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -89,10 +89,10 @@
 {
     LogFollowerCallbacks callbacks;
     callbacks.position = [this](LogOffset) { return configuration.readFrom(); };
-    callbacks.page = [this](const LogPage& page) {
+    callbacks.page = [this](LogOffset asked, const LogPage& page) {
         configurationHeardAt = clock.now();
         // How old the checkpoints are that were there before this host is not known; only new ones count.
-        if (configuration.foldPage(page) && configurationCaughtUp)
+        if (configuration.foldPage(asked, page) && configurationCaughtUp)
             checkpointAge.seen(clock.now());
     };
     callbacks.caughtUp = [this](MonotonicTime) { configurationCaughtUp = true; };
@@ -102,7 +102,7 @@
 LogFollowerCallbacks EntryHost::Implementation::withdrawalCallbacks()
 {
     LogFollowerCallbacks callbacks;
-    callbacks.page = [this](const LogPage& page) {
+    callbacks.page = [this](LogOffset, const LogPage& page) {
         for (const LogRecord& record : page.records)
             takeWithdrawal(record);
     };
--- a/packages/policy/lacewingsail/src/Policy/ConfigurationFold.cpp
+++ b/packages/policy/lacewingsail/src/Policy/ConfigurationFold.cpp
@@ -34,8 +34,9 @@
 
 LogOffset readFrom(const ConfigurationReader& reader) { return reader.gapEnd ? reader.searched : reader.fold.position; }
 
-void beginPage(ConfigurationReader& reader, LogOffset earliest)
+void beginPage(ConfigurationReader& reader, LogOffset asked, LogOffset earliest)
 {
+    reader.pageContinuesFold = std::max(asked, earliest) <= reader.fold.position;
     if (earliest <= reader.fold.position)
         return;
     // A checkpoint closes the gap only if no record after its position is lost, so the gap grows with what expires.
@@ -43,7 +44,7 @@
     reader.searched = std::max(reader.searched, earliest);
 }
 
-bool isNext(const ConfigurationReader& reader, LogOffset offset) { return !reader.gapEnd && offset >= reader.fold.position; }
+bool isNext(const ConfigurationReader& reader, LogOffset offset) { return !reader.gapEnd && reader.pageContinuesFold && offset >= reader.fold.position; }
 
 bool takeFold(ConfigurationReader& reader, ConfigurationFold fold)
 {
@@ -53,6 +54,8 @@
     if (reader.gapEnd && reader.fold.position >= *reader.gapEnd) {
         reader.gapEnd.reset();
         reader.searched = {};
+        // Records of the page at hand were passed over, so all of it is read once more, from the new position on.
+        reader.pageContinuesFold = false;
     }
     return true;
 }
@@ -61,7 +64,7 @@
 {
     if (reader.gapEnd)
         reader.searched = std::max(reader.searched, next);
-    else
+    else if (reader.pageContinuesFold)
         reader.fold.position = std::max(reader.fold.position, next);
 }
 
--- a/packages/policy/lacewingsail/src/Policy/ConfigurationFold.h
+++ b/packages/policy/lacewingsail/src/Policy/ConfigurationFold.h
@@ -53,13 +53,17 @@
     std::optional<LogOffset> gapEnd;
     /// How far the search for a checkpoint has come.
     LogOffset searched {};
+    /// Whether the page at hand begins no later than the fold ends, and none of its records was passed over.
+    bool pageContinuesFold = true;
 };
 
 /// \returns where to read next.
 LogOffset readFrom(const ConfigurationReader&);
 
-/// \brief To be called for every page before its records. \param earliest the oldest record that is still kept.
-void beginPage(ConfigurationReader&, LogOffset earliest);
+/// \brief To be called for every page before its records.
+/// \param asked where the page was asked to begin.
+/// \param earliest the oldest record that is still kept.
+void beginPage(ConfigurationReader&, LogOffset asked, LogOffset earliest);
 
 /// \returns whether the record at \p offset is the fold's next: neither folded before nor out of reach behind a gap.
 bool isNext(const ConfigurationReader&, LogOffset offset);
