--- /dev/null
+++ b/tests/LimitLedgersTest.cpp
@@ -0,0 +1,273 @@
+#include <lacewingsail/Limits.h>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+
+using namespace lacewingsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t rate = 40;
+constexpr std::int64_t burst = 10;
+constexpr std::uint32_t slotCount = 8;
+
+// A host's ledgers behind a clock of its own, which runs at its own speed.
+struct SimulatedHost {
+    HostId id;
+    double speed = 1;
+    ManualClock clock;
+    std::unique_ptr<LimitLedgers> ledgers;
+    MonotonicTime pausedUntil {};
+    MonotonicTime nextBorrow {};
+};
+
+struct Message {
+    MonotonicTime arrivesAt {};
+    std::size_t to = 0;
+    std::function<void()> deliver;
+};
+
+struct LimitLedgersFixture {
+    ManualClock world;
+    SharingSettings settings;
+    Configuration configuration;
+    ClientAccountId account { "norrland" };
+    std::vector<std::unique_ptr<SimulatedHost>> hosts;
+    std::vector<Message> messages;
+    std::vector<MonotonicTime> admitted;
+    int refused = 0;
+    std::minstd_rand random { 1 };
+    std::uint32_t lossParts = 0;
+    std::uint32_t slowParts = 0;
+
+    LimitLedgersFixture() { configuration.accounts.push_back({ account, { rate }, wholeTokens(burst), {} }); }
+
+    void addHost(const std::string& name, double speed, std::vector<std::uint32_t> slots)
+    {
+        auto host = std::make_unique<SimulatedHost>();
+        host->id = HostId(name);
+        host->speed = speed;
+        host->ledgers = std::make_unique<LimitLedgers>(host->id, IncarnationId(name + "/1"), settings, host->clock, [] {});
+        host->ledgers->configure(configuration);
+        HeldSlots held { slotCount, {}, MonotonicTime::max() };
+        for (const std::uint32_t slot : slots)
+            held.slots.push_back({ SlotIndex { slot }, true, host->clock.now() });
+        host->ledgers->hold(held);
+        hosts.push_back(std::move(host));
+    }
+
+    void addHosts()
+    {
+        addHost("a", 1.008, { 0, 1, 2 });
+        addHost("b", 1, { 3, 4, 5, 6 });
+        addHost("c", 0.993, { 7 });
+        agreeOnPooler();
+    }
+
+    void agreeOnPooler()
+    {
+        for (auto& host : hosts)
+            host->ledgers->setPoolers({ HostId("a"), HostId("b"), HostId("c") });
+    }
+
+    bool chance(std::uint32_t parts) { return parts != 0 && random() % parts == 0; }
+
+    std::size_t indexOf(const HostId& id) const
+    {
+        return static_cast<std::size_t>(std::ranges::find(hosts, id, [](const auto& host) { return host->id; }) - hosts.begin());
+    }
+
+    void send(std::size_t to, std::function<void()> deliver)
+    {
+        if (chance(lossParts))
+            return;
+        const auto delay = chance(slowParts) ? std::chrono::milliseconds(random() % 3000) : std::chrono::milliseconds(random() % 3);
+        messages.push_back({ world.now() + delay, to, std::move(deliver) });
+    }
+
+    void request(std::size_t at)
+    {
+        SimulatedHost& host = *hosts[at];
+        host.ledgers->admit(account, host.clock.now() + 10s, [this](ResultCode code) {
+            if (code == ResultCode::Ok)
+                admitted.push_back(world.now());
+            else
+                ++refused;
+        });
+    }
+
+    void draw(std::size_t from)
+    {
+        for (auto& [pooler, wishes] : hosts[from]->ledgers->wishes()) {
+            const std::size_t to = indexOf(pooler);
+            const MonotonicTime askedAt = hosts[from]->clock.now();
+            auto asked = std::make_shared<std::vector<DrawWish>>(std::move(wishes));
+            auto done = std::make_shared<bool>(false);
+            send(to, [this, from, to, pooler = pooler, asked, askedAt, done] {
+                auto grants = std::make_shared<std::vector<BlockGrant>>(hosts[to]->ledgers->draw(*asked));
+                send(from, [this, from, pooler, asked, askedAt, grants, done] {
+                    if (!std::exchange(*done, true))
+                        hosts[from]->ledgers->takeGrants(pooler, *asked, *grants, askedAt);
+                });
+            });
+            // The call times out; an answer that comes later is dropped.
+            messages.push_back({ world.now() + 250ms, from, [this, from, asked, done] {
+                                    if (!std::exchange(*done, true))
+                                        hosts[from]->ledgers->failDraw(*asked);
+                                } });
+        }
+    }
+
+    void borrow(std::size_t from)
+    {
+        SimulatedHost& host = *hosts[from];
+        bool isNew = false;
+        auto accounts = std::make_shared<std::vector<ClientAccountId>>(host.ledgers->pooledAccounts(isNew));
+        if (accounts->empty() || (!isNew && host.clock.now() < host.nextBorrow))
+            return;
+        host.nextBorrow = host.clock.now() + settings.loanTerm / 4;
+        const MonotonicTime askedAt = host.clock.now();
+        const IncarnationId borrower(host.id.value() + "/1");
+        for (std::size_t to = 0; to < hosts.size(); ++to) {
+            send(to, [this, from, to, accounts, askedAt, borrower] {
+                auto offers = std::make_shared<std::vector<LoanOffer>>(hosts[to]->ledgers->lendTo(borrower, *accounts));
+                send(from, [this, from, to, offers, askedAt] { hosts[from]->ledgers->takeLoans(hosts[to]->id, *offers, askedAt); });
+            });
+        }
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::erase_if(messages, [&](Message& message) {
+            const bool ready = message.arrivesAt <= world.now() && world.now() >= hosts[message.to]->pausedUntil;
+            if (ready)
+                due.push_back(std::move(message));
+            return ready;
+        });
+        for (Message& message : due)
+            message.deliver();
+    }
+
+    void tick(Duration step)
+    {
+        world.advance(step);
+        for (auto& host : hosts)
+            host->clock.advance(std::chrono::duration_cast<Duration>(step * host->speed));
+        deliver();
+        for (std::size_t index = 0; index < hosts.size(); ++index) {
+            if (world.now() < hosts[index]->pausedUntil)
+                continue;
+            hosts[index]->ledgers->refuseLate();
+            draw(index);
+            borrow(index);
+        }
+    }
+
+    // For every interval between two admissions: at most the burst and what the rate yields, at the speed of the
+    // fastest clock.
+    bool withinLimit() const
+    {
+        double level = static_cast<double>(burst);
+        for (std::size_t index = 0; index < admitted.size(); ++index) {
+            if (index > 0) {
+                const std::chrono::duration<double> elapsed = admitted[index] - admitted[index - 1];
+                level = std::min(static_cast<double>(burst), level + elapsed.count() * static_cast<double>(rate) * 1.008);
+            }
+            level -= 1;
+            if (level < -1e-6)
+                return false;
+        }
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, all requests at one host, get the whole rate and burst")
+{
+    addHosts();
+    // 90% of the rate, all at the host with the fewest slots.
+    for (int step = 0; step < 10'000; ++step) {
+        tick(1ms);
+        if (step % 28 == 0)
+            request(2);
+    }
+    CHECK(refused == 0);
+    CHECK(withinLimit());
+}
+
+TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, five times the rate from every host, give the rate and no more")
+{
+    addHosts();
+    for (int step = 0; step < 10'000; ++step) {
+        tick(1ms);
+        if (step % 5 == 0)
+            request(static_cast<std::size_t>(step / 5) % 3);
+    }
+    CHECK(withinLimit());
+    CHECK(admitted.size() > 380);
+}
+
+TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, lease on the slots has ended, admit nothing")
+{
+    addHosts();
+    for (auto& host : hosts)
+        host->ledgers->hold({ slotCount, { { SlotIndex { 0 }, true, {} } }, host->clock.now() });
+    for (int step = 0; step < 500; ++step) {
+        tick(1ms);
+        request(0);
+    }
+    CHECK(admitted.empty());
+}
+
+TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, slot changes hosts, begins empty there")
+{
+    addHosts();
+    for (int count = 0; count < 5; ++count)
+        request(1);
+    const std::size_t before = admitted.size();
+    CHECK(before == 5);
+    hosts[1]->ledgers->hold({ slotCount, {}, MonotonicTime::max() });
+    HeldSlots held { slotCount, { { SlotIndex { 3 }, false, hosts[0]->clock.now() }, { SlotIndex { 4 }, false, hosts[0]->clock.now() } }, MonotonicTime::max() };
+    hosts[0]->ledgers->hold(held);
+    request(0);
+    CHECK(admitted.size() == before);
+}
+
+TEST_CASE("ledgers, losses, delays, pauses, drift and quarrels about the pooler, never exceed the limit")
+{
+    std::size_t admittedInAll = 0;
+    CHECK(rc::check("bound over every interval", [&admittedInAll] {
+        LimitLedgersFixture fleet;
+        fleet.settings.loanTerm = 400ms;
+        fleet.settings.blockTerm = 160ms;
+        fleet.addHosts();
+        fleet.random.seed(*rc::gen::inRange(1, 1'000'000));
+        fleet.lossParts = 12;
+        fleet.slowParts = 12;
+        for (int step = 0; step < 4000; ++step) {
+            fleet.tick(std::chrono::microseconds(fleet.random() % 4000));
+            for (std::size_t index = 0; index < 3; ++index) {
+                if (fleet.chance(6) && fleet.world.now() >= fleet.hosts[index]->pausedUntil)
+                    fleet.request(index);
+                if (fleet.chance(700))
+                    fleet.hosts[index]->pausedUntil = fleet.world.now() + std::chrono::milliseconds(fleet.random() % 1500);
+                if (fleet.chance(300))
+                    fleet.hosts[index]->ledgers->setPoolers({ fleet.hosts[fleet.random() % 3]->id });
+            }
+            if (fleet.chance(200))
+                fleet.agreeOnPooler();
+        }
+        RC_ASSERT(fleet.withinLimit());
+        admittedInAll += fleet.admitted.size();
+    }));
+    // The faults do not keep the fleet from admitting altogether: in the mean 50 in a run of about 8 s.
+    CHECK(admittedInAll > 5000);
+}
