--- a/packages/limits/lacewingsail/src/Limits/LimitLedgers.cpp
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgers.cpp
@@ -97,33 +97,33 @@
     return *std::ranges::max_element(m_poolers, {}, [&](const HostId& host) { return rendezvousWeight(account.value(), host.value()); });
 }
 
-void LimitLedgers::admit(const ClientAccountId& account, MonotonicTime deadline, Admission::Answer answer)
+std::optional<ResultCode> LimitLedgers::admitOrQueue(const ClientAccountId& account, MonotonicTime deadline, const Admission::Answer& answer)
 {
-    ResultCode code = ResultCode::RateExceeded;
-    bool waits = false;
-    {
-        Shard& shard = shardOf(account);
-        const std::lock_guard lock(shard.mutex);
-        // The clock is read under the lock: a host that was paused before finds its lease and its blocks gone.
-        const MonotonicTime now = m_clock.now();
-        AccountLedger* ledger = find(shard, account, now);
-        if (ledger) {
-            countDemand(ledger->demand, now);
-            const MonotonicTime giveUpAt = std::min(deadline - internal::answerAhead, now + m_settings.admissionWait);
-            const bool mayWait = m_settings.sharing == LimitSharing::Pooled && now < giveUpAt && ledger->waiters.size() < internal::mostWaiters;
-            if (ledger->waiters.empty() && takeToken(*ledger, now)) {
-                code = ResultCode::Ok;
-            } else if (mayWait) {
-                ledger->waiters.push_back({ giveUpAt, std::move(answer) });
-                waits = true;
-                markBusy(account);
-            }
-        }
-    }
-    if (waits)
-        m_wake();
+    Shard& shard = shardOf(account);
+    const std::lock_guard lock(shard.mutex);
+    // The clock is read under the lock: a host that was paused before finds its lease and its blocks gone.
+    const MonotonicTime now = m_clock.now();
+    AccountLedger* ledger = find(shard, account, now);
+    if (!ledger)
+        return ResultCode::RateExceeded;
+    countDemand(ledger->demand, now);
+    if (ledger->waiters.empty() && takeToken(*ledger, now))
+        return ResultCode::Ok;
+    const MonotonicTime giveUpAt = std::min(deadline - internal::answerAhead, now + m_settings.admissionWait);
+    const bool mayWait = m_settings.sharing == LimitSharing::Pooled && now < giveUpAt && ledger->waiters.size() < internal::mostWaiters;
+    if (!mayWait)
+        return ResultCode::RateExceeded;
+    ledger->waiters.push_back({ giveUpAt, answer });
+    markBusy(account);
+    return std::nullopt;
+}
+
+void LimitLedgers::admit(const ClientAccountId& account, MonotonicTime deadline, const Admission::Answer& answer)
+{
+    if (const auto code = admitOrQueue(account, deadline, answer))
+        answer(*code);
     else
-        answer(code);
+        m_wake();
 }
 
 std::vector<LoanOffer> LimitLedgers::lendTo(const IncarnationId& borrower, std::span<const ClientAccountId> accounts)
--- a/packages/limits/lacewingsail/src/Limits/LimitLedgers.h
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgers.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -59,7 +60,7 @@
     void setPoolers(std::vector<HostId>);
 
     /// \brief Takes a token of the account, now or when one has been drawn. \sa Admission::admit
-    void admit(const ClientAccountId&, MonotonicTime deadline, Admission::Answer);
+    void admit(const ClientAccountId&, MonotonicTime deadline, const Admission::Answer&);
 
     /// \brief As a lender: lends the slices of \p accounts to the pooler's run \p borrower.
     std::vector<LoanOffer> lendTo(const IncarnationId& borrower, std::span<const ClientAccountId> accounts);
@@ -100,6 +101,8 @@
 
     static constexpr std::size_t shardCount = 64;
 
+    /// \returns the answer, or nothing if the request waits.
+    std::optional<ResultCode> admitOrQueue(const ClientAccountId&, MonotonicTime deadline, const Admission::Answer&);
     Shard& shardOf(const ClientAccountId&);
     AccountLedger* find(Shard&, const ClientAccountId&, MonotonicTime now);
     AccountLedger& findOrMake(Shard&, const ClientAccountId&, MonotonicTime now);
--- a/packages/limits/lacewingsail/src/Limits/PooledAdmission.cpp
+++ b/packages/limits/lacewingsail/src/Limits/PooledAdmission.cpp
@@ -159,7 +159,7 @@
 
 void PooledAdmission::admit(const ClientAccount& account, MonotonicTime deadline, Answer answer)
 {
-    m_implementation->ledgers.admit(account.id, deadline, std::move(answer));
+    m_implementation->ledgers.admit(account.id, deadline, answer);
 }
 
 void PooledAdmission::configure(const Configuration& configuration) { m_implementation->ledgers.configure(configuration); }
