--- a/standins/backend/main.cpp
+++ b/standins/backend/main.cpp
@@ -9,7 +9,11 @@
 ///
 /// On the control listener
 ///   POST /faults   {"server":"IP:PORT", "stall":bool, "slow_ms":n, "error":bool, "wrong":bool, "truncate_after":n,
-///                   "stall_after":n, "shed":bool, "leaving":bool, "unhealthy":bool, "slots":n, "work_ms":n}
+///                   "stall_after":n, "shed":bool, "leaving":bool, "unhealthy":bool, "slots":n, "work_ms":n,
+///                   "flap_ms":n, "cold_ms":n, "surplus":bool, "load_says":n}
+///     wrong sends the answer to the server's previous request, surplus sends each small answer twice, flap_ms
+///     stalls in every other period of n ms, cold_ms starts the server anew: slow at first, less so until n ms have
+///     passed; load_says reports n requests whatever the load.
 ///   GET  /effects  every effect: server, request id, idempotency key, path
 ///   GET  /seen     counts of requests for each server, and of requests that carried a key
 ///   POST /watch    {"text":"..."}: a request with this text in any field, its target or its body carried a key
@@ -47,6 +51,7 @@
     constexpr std::size_t pieceBytes = 16 * 1024;
     constexpr std::chrono::milliseconds stallCheckInterval { 20 };
     constexpr std::chrono::milliseconds queueCheckInterval { 2 };
+    constexpr std::int64_t coldestExtraMilliseconds = 200;
 
     struct Faults {
         bool stall = false;
@@ -55,11 +60,16 @@
         bool shed = false;
         bool leaving = false;
         bool unhealthy = false;
+        bool surplus = false;
         std::int64_t slowMilliseconds = 0;
         std::int64_t workMilliseconds = 1;
         std::int64_t truncateAfter = -1;
         std::int64_t stallAfter = -1;
         std::int64_t slots = 6;
+        std::int64_t flapMilliseconds = 0;
+        std::int64_t coldMilliseconds = 0;
+        std::int64_t loadSays = -1;
+        std::chrono::steady_clock::time_point startedAt;
     };
 
     struct Effect {
@@ -90,6 +100,7 @@
         std::int64_t requests = 0;
         std::int64_t cancelled = 0;
         std::string previousRequestId;
+        std::string previousBody;
     };
 
     /// \brief All servers of the process. The mutex is held for moments only.
@@ -126,10 +137,21 @@
         }
 
     private:
+        static std::int64_t millisecondsSince(std::chrono::steady_clock::time_point time)
+        {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - time).count();
+        }
+
         Faults faults()
         {
             const std::lock_guard lock(m_world.mutex);
-            return m_world.servers[m_server].faults;
+            Faults active = m_world.servers[m_server].faults;
+            const std::int64_t age = millisecondsSince(active.startedAt);
+            if (active.flapMilliseconds > 0 && age / active.flapMilliseconds % 2 == 0)
+                active.stall = true;
+            if (age < active.coldMilliseconds)
+                active.slowMilliseconds += coldestExtraMilliseconds * (active.coldMilliseconds - age) / active.coldMilliseconds;
+            return active;
         }
 
         net::awaitable<void> pause(std::chrono::milliseconds duration)
@@ -216,7 +238,8 @@
         {
             const std::lock_guard lock(m_world.mutex);
             const Server& server = m_world.servers[m_server];
-            return std::to_string(server.working + server.waiting) + '/' + std::to_string(server.faults.slots);
+            const std::int64_t load = server.faults.loadSays >= 0 ? server.faults.loadSays : server.working + server.waiting;
+            return std::to_string(load) + '/' + std::to_string(server.faults.slots);
         }
 
         template <typename Body>
@@ -238,17 +261,28 @@
             response.set("X-Server", m_server);
         }
 
+        // Remembers the body; a server that crosses answers sends the one before.
+        std::string exchangeBody(std::string body, bool wrong)
+        {
+            const std::lock_guard lock(m_world.mutex);
+            std::string previous = std::exchange(m_world.servers[m_server].previousBody, body);
+            return wrong ? previous : body;
+        }
+
         net::awaitable<bool> sendSmall(const Request& request, unsigned status, std::string body, const char* notRun = nullptr)
         {
             http::response<http::string_body> response;
             response.result(status);
-            complete(response, request, faults());
+            const Faults active = faults();
+            complete(response, request, active);
             response.set(http::field::content_type, "application/json");
             if (notRun)
                 response.set("X-Not-Run", notRun);
-            response.body() = std::move(body);
+            response.body() = exchangeBody(std::move(body), active.wrong);
             response.prepare_payload();
             co_await http::async_write(m_stream, response, net::use_awaitable);
+            if (active.surplus)
+                co_await http::async_write(m_stream, response, net::use_awaitable);
             co_return response.keep_alive();
         }
 
@@ -260,7 +294,10 @@
             const std::size_t place = count(request);
             if (active.leaving)
                 co_return co_await sendSmall(request, 503, std::string("{}"), "leaving");
-            if (active.shed || !co_await takeSlot())
+            if (active.shed)
+                co_return co_await sendSmall(request, 503, std::string("{}"), "shed");
+            const bool taken = co_await takeSlot();
+            if (!taken)
                 co_return co_await sendSmall(request, 503, std::string("{}"), "shed");
             // The slot is given back however the request ends.
             const std::shared_ptr<void> slot(nullptr, [this](void*) { releaseSlot(); });
@@ -347,7 +384,8 @@
                 header.set(http::field::content_range, "bytes " + std::to_string(range.first) + '-' + std::to_string(range.end - 1) + '/' + std::to_string(size));
             http::response_serializer<http::empty_body> serializer(header);
             co_await http::async_write_header(m_stream, serializer, net::use_awaitable);
-            co_return co_await sendBytes(seed, range) && request.keep_alive();
+            const bool sent = co_await sendBytes(seed, range);
+            co_return sent&& request.keep_alive();
         }
 
         net::awaitable<bool> sendBytes(std::uint64_t seed, const Range& range)
@@ -423,6 +461,11 @@
         setNumber(settings, "truncate_after", faults.truncateAfter);
         setNumber(settings, "stall_after", faults.stallAfter);
         setNumber(settings, "slots", faults.slots);
+        setFlag(settings, "surplus", faults.surplus);
+        setNumber(settings, "flap_ms", faults.flapMilliseconds);
+        setNumber(settings, "cold_ms", faults.coldMilliseconds);
+        setNumber(settings, "load_says", faults.loadSays);
+        faults.startedAt = std::chrono::steady_clock::now();
         return { 200, {}, "{}" };
     }
 
--- a/standins/log/main.cpp
+++ b/standins/log/main.cpp
@@ -2,7 +2,8 @@
 ///
 /// POST /streams/NAME/records            appends the body
 /// GET  /streams/NAME/records?from=&wait_ms=   reads, waiting for a first record
-/// POST /control  {"outage":bool, "slow_ms":n, "lose_answers":n, "retain_records":n}   switches faults
+/// POST /control  {"outage":bool, "slow_ms":n, "lose_answers":n, "retain_records":n, "retain_ms":n,
+///                 "appends_per_second":n}   switches faults; 0 is no limit
 
 #include "../common/Options.h"
 
@@ -26,9 +27,16 @@
     constexpr int handlerThreads = 192;
     constexpr std::size_t largestPage = 500;
 
+    using Clock = std::chrono::steady_clock;
+
+    struct Record {
+        std::string body;
+        Clock::time_point appendedAt;
+    };
+
     struct Stream {
         std::uint64_t earliest = 0;
-        std::deque<std::string> records;
+        std::deque<Record> records;
     };
 
     struct Faults {
@@ -36,6 +44,8 @@
         std::chrono::milliseconds delay { 0 };
         int lostAnswers = 0;
         std::size_t retainedRecords = 1'000'000;
+        std::chrono::milliseconds retention { 0 };
+        std::int64_t appendsPerSecond = 0;
     };
 
     class LogStore {
@@ -79,6 +89,10 @@
                 m_faults.lostAnswers = static_cast<int>(value->as_int64());
             if (const auto* value = settings.if_contains("retain_records"))
                 m_faults.retainedRecords = static_cast<std::size_t>(value->as_int64());
+            if (const auto* value = settings.if_contains("retain_ms"))
+                m_faults.retention = std::chrono::milliseconds(value->as_int64());
+            if (const auto* value = settings.if_contains("appends_per_second"))
+                m_faults.appendsPerSecond = value->as_int64();
             m_changed.notify_all();
             return { 200, {}, "{}" };
         }
@@ -88,13 +102,12 @@
             const std::lock_guard lock(m_mutex);
             if (m_faults.outage)
                 return { 503, {}, "outage\n" };
+            if (!withinLimit())
+                return { 503, {}, "too many appends\n" };
             Stream& stream = m_streams[name];
             const std::uint64_t offset = stream.earliest + stream.records.size();
-            stream.records.push_back(body);
-            while (stream.records.size() > m_faults.retainedRecords) {
-                stream.records.pop_front();
-                ++stream.earliest;
-            }
+            stream.records.push_back({ body, Clock::now() });
+            expire(stream);
             m_changed.notify_all();
             if (m_faults.lostAnswers > 0) {
                 --m_faults.lostAnswers;
@@ -103,6 +116,33 @@
             return { 200, {}, json::serialize(json::object { { "offset", offset } }) };
         }
 
+        // Counts appends of all streams in windows of a second.
+        bool withinLimit()
+        {
+            const Clock::time_point now = Clock::now();
+            if (now - m_windowBegan >= std::chrono::seconds(1)) {
+                m_windowBegan = now;
+                m_appendsInWindow = 0;
+            }
+            ++m_appendsInWindow;
+            return m_faults.appendsPerSecond == 0 || m_appendsInWindow <= m_faults.appendsPerSecond;
+        }
+
+        bool isExpired(const Stream& stream) const
+        {
+            if (stream.records.size() > m_faults.retainedRecords)
+                return true;
+            return m_faults.retention.count() > 0 && Clock::now() - stream.records.front().appendedAt > m_faults.retention;
+        }
+
+        void expire(Stream& stream) const
+        {
+            while (!stream.records.empty() && isExpired(stream)) {
+                stream.records.pop_front();
+                ++stream.earliest;
+            }
+        }
+
         HttpResponse read(const std::string& name, std::string_view target)
         {
             const std::uint64_t from = std::stoull(queryValue(target, "from", "0"));
@@ -114,6 +154,7 @@
             });
             if (m_faults.outage)
                 return { 503, {}, "outage\n" };
+            expire(m_streams[name]);
             return page(m_streams[name], from);
         }
 
@@ -122,7 +163,7 @@
             json::array records;
             std::uint64_t offset = std::max(from, stream.earliest);
             for (; offset < stream.earliest + stream.records.size() && records.size() < largestPage; ++offset)
-                records.emplace_back(json::object { { "offset", offset }, { "body", stream.records[offset - stream.earliest] } });
+                records.emplace_back(json::object { { "offset", offset }, { "body", stream.records[offset - stream.earliest].body } });
             return { 200, {}, json::serialize(json::object { { "earliest", stream.earliest }, { "next", offset }, { "records", std::move(records) } }) };
         }
 
@@ -130,6 +171,8 @@
         std::condition_variable m_changed;
         std::map<std::string, Stream> m_streams;
         Faults m_faults;
+        Clock::time_point m_windowBegan;
+        std::int64_t m_appendsInWindow = 0;
     };
 
     HttpResponse answerSafely(LogStore& store, const HttpRequest& request)
