--- a/scripts/fleet/faults.py
+++ b/scripts/fleet/faults.py
@@ -190,7 +190,7 @@
     def backend(self, fault):
         """A fault of a backend server, as "IP:PORT fault value"."""
         server, name, value = fault.split(" ")
-        off = {"true": False}.get(value, -1 if name.endswith("_after") else 0)
+        off = {"true": False}.get(value, -1 if name.endswith(("_after", "_says")) else 0)
         self.fault(server, **{name: True if value == "true" else int(value)})
         return lambda: self.fault(server, **{name: off})
 
--- a/scripts/fleet/scenarios.py
+++ b/scripts/fleet/scenarios.py
@@ -39,22 +39,28 @@
     settings: tuple = ()
 
 
+# A host that hears neither the log nor peers refuses keyed requests well within checkers.KEY_SECONDS.
+SHORT_STALENESS = (("key_staleness_ms", 1500),)
+
 SCENARIOS = {scenario.name: scenario for scenario in (
     Scenario("calm", "no fault; every promise under load", racers=2, withdrawals=1),
     Scenario("greedy", "callers far above their rate, hosts killed and frozen", ("kill", "freeze"), rate=40, burst=20,
              callers_per_account=2, accounts=3, plan=Plan(rate=80.0, bookings=0, keyed_bookings=0, downloads=0)),
-    Scenario("cuts", "one-way and two-way cuts between hosts while operators race and withdraw", ("deafen", "mute", "cut_peers"), racers=3, withdrawals=2),
+    Scenario("cuts", "one-way and two-way cuts between hosts while operators race and withdraw", ("deafen", "mute", "cut_peers"), racers=3, withdrawals=2, settings=SHORT_STALENESS),
     Scenario("log-away", "the log is away, slow, and loses answers", ("log_outage", "lose_answers", "slow_log"), racers=2, withdrawals=2),
-    Scenario("isolated", "a host hears neither log nor peers while keys are withdrawn", ("isolate", "isolate"), withdrawals=3),
+    Scenario("isolated", "a host hears neither log nor peers while keys are withdrawn", ("isolate", "isolate"), withdrawals=3, settings=SHORT_STALENESS),
     Scenario("bookings", "bookings repeated at other hosts, hosts killed, appended claims without an answer", ("kill", "lose_answers", "mute_log", "kill"),
              plan=Plan(rate=25.0, lookups=1, bookings=3, keyed_bookings=8, downloads=0, opens=0)),
     Scenario("replacement", "hosts stopped as planned and replaced under load", ("replace", "replace"), hosts=6, spares=2),
     Scenario("gray-servers", "stalls, errors, wrong and broken answers of backend servers", server_faults=("loan-desk stall true", "loan-desk error true", "loan-desk wrong true", "archive truncate_after 30000", "archive stall_after 30000"),
              plan=Plan(downloads=4)),
+    Scenario("crossed", "answers that come crossed, late and twice, from flapping and cold servers",
+             server_faults=("loan-desk wrong true", "loan-desk surplus true", "loan-desk flap_ms 500", "loan-desk cold_ms 4000", "archive load_says 0"),
+             plan=Plan(lookups=8, bookings=3, keyed_bookings=0)),
     Scenario("broken-downloads", "backend servers break off in the middle of answers",
              server_faults=("archive truncate_after 30000", "archive truncate_after 100", "archive truncate_after 0"), plan=Plan(lookups=2, bookings=0, keyed_bookings=0, downloads=4)),
     Scenario("leaving", "backend servers leave", server_faults=("loan-desk leave", "archive leave")),
-    Scenario("pairs", "pairs of faults of every kind", ("kill", "freeze", "deafen", "mute", "log_outage", "lose_answers", "cut_log"), racers=2, withdrawals=2, seconds=18.0),
+    Scenario("pairs", "pairs of faults of every kind", ("kill", "freeze", "deafen", "mute", "log_outage", "lose_answers", "cut_log"), racers=2, withdrawals=2, seconds=18.0, settings=SHORT_STALENESS),
 )}
 
 
