--- a/scripts/fleet/scenarios.py
+++ b/scripts/fleet/scenarios.py
@@ -42,10 +42,17 @@
 # A host that hears neither the log nor peers refuses keyed requests well within checkers.KEY_SECONDS.
 SHORT_STALENESS = (("key_staleness_ms", 1500),)
 
+# Leases of limit slots that lapse within a freeze.
+SHORT_LEASES = (("slot_lease_ms", 2500), ("loan_term_ms", 1000), ("block_term_ms", 300))
+GREEDY = Plan(rate=80.0, bookings=0, keyed_bookings=0, downloads=0)
+
 SCENARIOS = {scenario.name: scenario for scenario in (
     Scenario("calm", "no fault; every promise under load", racers=2, withdrawals=1),
     Scenario("greedy", "callers far above their rate, hosts killed and frozen", ("kill", "freeze"), rate=40, burst=20,
-             callers_per_account=2, accounts=3, plan=Plan(rate=80.0, bookings=0, keyed_bookings=0, downloads=0)),
+             callers_per_account=2, accounts=3, plan=GREEDY),
+    Scenario("lapsed-leases", "hosts paused, killed and cut from the log for longer than their leases, under greedy callers",
+             ("freeze", "kill", "mute_log", "freeze", "cut_log", "cut_peers"), rate=40, burst=20, callers_per_account=2, accounts=3, plan=GREEDY,
+             seconds=20.0, settings=SHORT_LEASES),
     Scenario("cuts", "one-way and two-way cuts between hosts while operators race and withdraw", ("deafen", "mute", "cut_peers"), racers=3, withdrawals=2, settings=SHORT_STALENESS),
     Scenario("log-away", "the log is away, slow, and loses answers", ("log_outage", "lose_answers", "slow_log"), racers=2, withdrawals=2),
     Scenario("isolated", "a host hears neither log nor peers while keys are withdrawn", ("isolate", "isolate"), withdrawals=3, settings=SHORT_STALENESS),
