--- a/tests/ProxyFixture.cpp
+++ b/tests/ProxyFixture.cpp
@@ -208,8 +208,11 @@
     auto fleet = std::make_shared<FleetSnapshot>();
     fleet->tables = makeConfigurationTables(ConfigurationVersion { 1 }, configuration);
     fleet->withdrawn = std::make_shared<const WithdrawnKeys>();
-    fleet->standings = configuredStandings(*configuration);
+    const FleetStandings standings = configuredStandings(*configuration);
+    fleet->standings = standings.standings;
+    fleet->shares = standings.shares;
     fleet->loads = carryLoads(*configuration, nullptr);
+    fleet->timings = carryTimings(*configuration, nullptr);
     snapshot.publish(std::move(fleet));
     std::error_code error;
     proxy = std::make_unique<ProxyServer>(ProxyServices { settings, clock, snapshot, admission, evidence, metrics, journal, bookings }, error);
