A stall that ends in the server's own not-run is said to be not run

Cause: the report of a stall counted as an attempt that may have run, although the server's later X-Not-Run proves that it did not; the refusal said unknown and an idempotency key stayed taken. Safe before, exact after: only attempts that failed after their first byte count. Ruled out: a false not-run (the attempt that is broken off still counts).

--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -159,8 +159,6 @@
 
 void reportAttempt(RequestContext& request, const AttemptTarget& target, AttemptOutcome outcome, MonotonicTime begunAt, bool afterStall)
 {
-    const bool surelyNotRun = outcome == AttemptOutcome::ConnectFailed || outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::Leaving;
-    request.mayHaveRun = request.mayHaveRun || !surelyNotRun;
     const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(request.thread.services.clock.now() - begunAt);
     if (outcome == AttemptOutcome::Leaving)
         target.load->leaving.store(true, std::memory_order_relaxed);
@@ -199,15 +197,19 @@
     } while (!error && isInterim(*parser));
     watch.end();
     const bool stalled = watch.stalled();
-    if (watch.brokenOff() && error)
+    if (watch.brokenOff() && error) {
+        request.mayHaveRun = true;
         co_return std::move(sent).fail(ResultCode::UpstreamTimeout);
+    }
     if (error) {
         const AttemptOutcome outcome = outcomeOf(error, request);
         reportAttempt(request, target, outcome, begunAt, stalled);
+        request.mayHaveRun = true;
         co_return std::move(sent).fail(codeOf(outcome));
     }
     if (parser->get()[requestIdField] != request.id.value() || !isWholeByItself(*parser)) {
         reportAttempt(request, target, AttemptOutcome::Wrong, begunAt, false);
+        request.mayHaveRun = true;
         co_return std::move(sent).fail(ResultCode::UpstreamWrongAnswer);
     }
     const auto report = parser->get()[loadField];
--- a/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/RequestPath.cpp
@@ -140,6 +140,7 @@
             if (relayed.answer)
                 end.settle(BookingResult::Answered, *relayed.answer);
             broken = relayed.code;
+            request.mayHaveRun = true;
             if (relayed.end == RelayEnd::NotBegun && mayAskAgain(request, target, asked))
                 continue;
             if (relayed.end == RelayEnd::NotBegun)
