--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationPeers.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationPeers.cpp
@@ -17,6 +17,7 @@
 namespace internal {
 
     constexpr std::chrono::milliseconds exchangeTimeout { 1000 };
+    constexpr std::chrono::milliseconds farewellTimeout { 2500 };
     constexpr std::chrono::milliseconds pullTimeout { 5000 };
     constexpr std::chrono::milliseconds newsInterval { 50 };
     constexpr int exchangesAtATime = 8;
@@ -109,6 +110,8 @@
     std::condition_variable wake;
     bool stopping = false;
     bool tellAll = false;
+    bool toldAll = false;
+    std::atomic<bool> telling { false };
     int newsToSpread = 0;
     std::thread thread;
 
@@ -124,7 +127,9 @@
 bool ConfigurationPeers::Implementation::swap(protocol::Peer::StubInterface& stub, bool wholeSet, protocol::Exchange& reply)
 {
     grpc::ClientContext context;
-    prepareCall(context, parts.settings.fleetSecret, internal::exchangeTimeout);
+    prepareCall(context, parts.settings.fleetSecret, telling ? internal::farewellTimeout : internal::exchangeTimeout);
+    // A connection that failed a moment ago is not tried again at once; the last word must wait for it all the same.
+    context.set_wait_for_ready(telling);
     const protocol::Exchange request = messages.make(wholeSet);
     counters.sent(internal::exchangeType, request);
     if (!stub.Swap(&context, request, &reply).ok())
@@ -200,11 +205,13 @@
             --newsToSpread;
             partners = std::max(partners, internal::newsPartners);
         }
-        if (std::exchange(tellAll, false))
+        telling = std::exchange(tellAll, false);
+        if (telling)
             partners = parts.membership.peers().size();
         lock.unlock();
         exchangeRound(partners);
         lock.lock();
+        toldAll = toldAll || telling;
         const auto interval = newsToSpread > 0 ? internal::newsInterval : FleetMembership::exchangeInterval;
         wake.wait_for(lock, interval, [this] { return stopping || tellAll || newsToSpread == internal::newsRounds; });
     }
@@ -252,4 +259,10 @@
     m_implementation->wake.notify_all();
 }
 
+bool ConfigurationPeers::leavingAnnounced() const
+{
+    const std::lock_guard lock(m_implementation->mutex);
+    return m_implementation->toldAll;
+}
+
 } // namespace lacewingsail
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationPeers.h
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ConfigurationPeers.h
@@ -47,6 +47,9 @@
     /// \brief Tells every other host that this one takes a planned stop. Returns at once.
     void announceLeaving();
 
+    /// \returns whether every other host that can be reached has been told.
+    bool leavingAnnounced() const;
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/packages/configuration/lacewingsail/src/ConfigurationSync/ExchangeMessage.cpp
+++ b/packages/configuration/lacewingsail/src/ConfigurationSync/ExchangeMessage.cpp
@@ -70,7 +70,10 @@
 bool ExchangeMessages::take(const protocol::Exchange& message, std::optional<MonotonicTime> asOf) const
 {
     const HostId sender(message.host());
-    m_parts.membership.heard(sender, toIds<HostId>(message.unheard_hosts()), message.leaving());
+    // A host sends its requests one after the other, but an answer made before it began to leave may be read after its
+    // farewell; so only a request says that it does not leave.
+    const bool mayBeOld = asOf.has_value() && !message.leaving();
+    m_parts.membership.heard(sender, toIds<HostId>(message.unheard_hosts()), mayBeOld ? std::nullopt : std::optional(message.leaving()));
     m_parts.state.withdraw(toIds<KeyId>(message.withdrawn_keys()));
     const bool knowsAll = message.whole_set() || !differsFrom(message);
     // A request may have waited in a buffer while this process was paused, so only answers to own requests count.
--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -184,7 +184,8 @@
 {
     const PooledAdmission* pooled = m_implementation->pooledAdmission;
     const bool slotsReturned = !pooled || pooled->gaveUpSlots();
-    return m_implementation->draining && slotsReturned && m_implementation->proxy->openConnections() == 0;
+    const bool handedOver = slotsReturned && m_implementation->configurationPeers->leavingAnnounced();
+    return m_implementation->draining && handedOver && m_implementation->proxy->openConnections() == 0;
 }
 
 } // namespace lacewingsail
--- a/packages/membership/lacewingsail/src/Membership/FleetMembership.cpp
+++ b/packages/membership/lacewingsail/src/Membership/FleetMembership.cpp
@@ -46,10 +46,12 @@
     return result;
 }
 
-void FleetMembership::heard(const HostId& from, const std::vector<HostId>& unheardByIt, bool leaving)
+void FleetMembership::heard(const HostId& from, const std::vector<HostId>& unheardByIt, std::optional<bool> leaving)
 {
     const std::lock_guard lock(m_mutex);
-    noteHeard(m_links, from, m_self, unheardByIt, leaving, m_clock.now());
+    const auto link = m_links.find(from);
+    const bool wasLeaving = link != m_links.end() && link->second.leaving;
+    noteHeard(m_links, from, m_self, unheardByIt, leaving.value_or(wasLeaving), m_clock.now());
 }
 
 std::vector<LinkView> FleetMembership::links() const
--- a/packages/membership/lacewingsail/src/Membership/FleetMembership.h
+++ b/packages/membership/lacewingsail/src/Membership/FleetMembership.h
@@ -7,6 +7,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -34,8 +35,10 @@
     /// \returns every listed host, the own one included. Copies the list.
     std::vector<Host> hosts() const;
 
-    /// \brief Another host was heard. \param unheardByIt hosts that it says it does not hear.
-    void heard(const HostId& from, const std::vector<HostId>& unheardByIt, bool leaving);
+    /// \brief Another host was heard.
+    /// \param unheardByIt hosts that it says it does not hear.
+    /// \param leaving whether it takes a planned stop; empty if what it said may be older than what is known.
+    void heard(const HostId& from, const std::vector<HostId>& unheardByIt, std::optional<bool> leaving);
 
     /// \returns the links to all other listed hosts.
     std::vector<LinkView> links() const;
