--- a/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
@@ -384,16 +384,23 @@
             const auto record = found->second.servers.find(services[service].backendServers[server].id);
             if (record == found->second.servers.end())
                 continue;
-            BackendServerLoad& load = *snapshot.loads[service][server];
-            if (record->second.standing == Standing::Leaving)
-                load.leaving.store(true, std::memory_order_relaxed);
-            const bool pinnedOut = record->second.pin && record->second.pin->kind == Pin::Kind::Ejected;
-            if (record->second.standing == Standing::Ejected && !pinnedOut && takeProbe(record->second.recovery, now))
-                load.probes.store(1, std::memory_order_relaxed);
+            serveTo(*snapshot.loads[service][server], record->second, now);
         }
     }
 }
 
+void DetectionState::serveTo(BackendServerLoad& load, ServerRecord& record, MonotonicTime now)
+{
+    // Only a mark that was decided here is taken back: a request may have set one that is still to be decided on.
+    if ((record.standing == Standing::Leaving) != record.leavingMarked) {
+        record.leavingMarked = record.standing == Standing::Leaving;
+        load.leaving.store(record.leavingMarked, std::memory_order_relaxed);
+    }
+    const bool pinnedOut = record.pin && record.pin->kind == Pin::Kind::Ejected;
+    if (record.standing == Standing::Ejected && !pinnedOut && takeProbe(record.recovery, now))
+        load.probes.store(1, std::memory_order_relaxed);
+}
+
 bool DetectionState::confirm(const ServiceId& service, const BackendServerId& server, const std::string& author)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/detection/lacewingsail/src/Detection/DetectionState.h
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.h
@@ -77,6 +77,8 @@
         bool reachable = true;
         /// Its answer to this host or to another said so. Stands until the server is configured anew or pinned.
         bool saidLeaving = false;
+        /// Whether requests have been told that it is leaving.
+        bool leavingMarked = false;
         bool confirmed = false;
         bool proposed = false;
         Standing standing = Standing::Serving;
@@ -100,6 +102,7 @@
     bool suspectsLink(MonotonicTime now);
     bool accusedElsewhere(ServerHash) const;
     void judgeServers(const Service&, ServiceRecord&, bool linkSuspect, MonotonicTime now);
+    void serveTo(BackendServerLoad&, ServerRecord&, MonotonicTime now);
     static int failuresAlone(const ServiceRecord&, const ServerRecord&, MonotonicTime now);
     std::vector<Testimony> testimonies(std::uint64_t service, ServerHash, MonotonicTime now) const;
     bool isCondemned(const Service&, const ServerRecord&) const;
--- a/tests/DetectionStateTest.cpp
+++ b/tests/DetectionStateTest.cpp
@@ -35,6 +35,19 @@
             observe(server, AttemptOutcome::Answered, times);
     }
 
+    // What requests read of one server after the next decision.
+    BackendServerLoad& load(std::size_t server)
+    {
+        auto fresh = std::make_shared<FleetSnapshot>();
+        fresh->tables = makeConfigurationTables(ConfigurationVersion { 1 }, std::make_shared<const Configuration>(configuration));
+        fresh->loads = carryLoads(configuration, snapshot.get());
+        fresh->timings = carryTimings(configuration, snapshot.get());
+        snapshot = std::move(fresh);
+        decide();
+        state.serve(*snapshot);
+        return *snapshot->loads.front()[server];
+    }
+
     FleetStandings decide() { return state.decide(configuration); }
     Standing standing(std::size_t server) { return decide().standings.front()[server]; }
 
@@ -43,6 +56,7 @@
     Journal journal { 100 };
     Configuration configuration;
     DetectionState state { settings, clock, journal };
+    std::shared_ptr<const FleetSnapshot> snapshot;
 };
 
 } // namespace
@@ -123,6 +137,39 @@
     CHECK(standing(3) == Standing::Leaving);
 }
 
+TEST_CASE_FIXTURE(DetectionStateFixture, "leaving mark, configuration sets it and takes it back, reaches requests both times")
+{
+    configuration.services.front().backendServers[3].leaving = true;
+    CHECK(load(3).leaving);
+    configuration.services.front().backendServers[3].leaving = false;
+    CHECK_FALSE(load(3).leaving);
+}
+
+TEST_CASE_FIXTURE(DetectionStateFixture, "leaving mark, set by a request before the decision, is not taken back")
+{
+    load(3).leaving = true;
+    CHECK(load(3).leaving);
+    observe(3, AttemptOutcome::Leaving);
+    CHECK(load(3).leaving);
+}
+
+TEST_CASE_FIXTURE(DetectionStateFixture, "leaving mark, operator pins the server to serving, is lifted")
+{
+    observe(3, AttemptOutcome::Leaving);
+    CHECK(load(3).leaving);
+    state.pin(ServiceId("loan-desk"), BackendServerId("server-3"), { Pin::Kind::Serving, clock.now() + 10s, "ana" });
+    CHECK_FALSE(load(3).leaving);
+}
+
+TEST_CASE_FIXTURE(DetectionStateFixture, "probe, ejected server after its hold, is granted to one request")
+{
+    workWell();
+    observe(0, AttemptOutcome::Stalled, 4);
+    CHECK(load(0).probes == 0);
+    clock.advance(2s);
+    CHECK(load(0).probes == 1);
+}
+
 TEST_CASE_FIXTURE(DetectionStateFixture, "standing, a peer heard that a server leaves, leaves at once")
 {
     PeerDigest digest;
