--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -1,31 +1,13 @@
 /// \brief `bench-decisions`: time and allocations of each decision, by the number of backend servers.
 
+#include "Allocations.h"
+
 #include <lacewingsail/Policy.h>
 
 #include <benchmark/benchmark.h>
 
-#include <atomic>
-#include <cstdlib>
-#include <new>
 #include <random>
 
-namespace {
-
-std::atomic<std::int64_t> allocations { 0 };
-
-} // namespace
-
-void* operator new(std::size_t size)
-{
-    allocations.fetch_add(1, std::memory_order_relaxed);
-    if (void* memory = std::malloc(size)) // NOLINT: the replacement of operator new
-        return memory;
-    throw std::bad_alloc();
-}
-
-void operator delete(void* memory) noexcept { std::free(memory); } // NOLINT: see above
-void operator delete(void* memory, std::size_t) noexcept { std::free(memory); } // NOLINT: see above
-
 namespace lacewingsail::bench {
 
 namespace {
@@ -38,10 +20,10 @@
     public:
         explicit AllocationCount(benchmark::State& state)
             : m_state(state)
-            , m_before(allocations)
+            , m_before(allocationCount())
         {
         }
-        ~AllocationCount() { m_state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocations - m_before), benchmark::Counter::kAvgIterations); }
+        ~AllocationCount() { m_state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocationCount() - m_before), benchmark::Counter::kAvgIterations); }
         AllocationCount(const AllocationCount&) = delete;
         AllocationCount& operator=(const AllocationCount&) = delete;
 
