Fleets in tests take ports that outgoing connections never get

Cause: ctest histories failed at once with 'address already in use': ports were drawn from the range of outgoing connections, in two rounds that did not know of each other. Relays now keep their bound sockets, and other ports come from below that range. Ruled out: a listener left over (the port differed each time).

--- a/scripts/fleet/faults.py
+++ b/scripts/fleet/faults.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .history import Fault, Leaving, PlannedStop
-from .processes import Fleet, FleetError, address, call, free_ports, wait_until
+from .processes import Fleet, FleetError, address, bound_socket, call, wait_until
 from .relays import BACKWARD, BOTH, FORWARD, Relays
 
 FREEZE_SECONDS = (3.0, 5.0)
@@ -42,8 +42,9 @@
         names = [f"{a.name}>{b.name}" for a in self.hosts for b in self.hosts if a is not b]
         names += [f"{host.name}>{service}" for host in self.hosts for service in ("log", "list")]
         servers = [each for group in self.servers.values() for each in group] if relay_servers else []
-        ports = free_ports(len(names) + len(servers))
-        self.relay_addresses = {name: address(port) for name, port in zip(names + servers, ports)}
+        # Held from here on, so that no one else can take their ports.
+        self.listeners = {name: bound_socket() for name in names + servers}
+        self.relay_addresses = {name: address(listener.getsockname()[1]) for name, listener in self.listeners.items()}
 
     def close(self):
         super().close()
@@ -64,8 +65,8 @@
         targets = {f"{a.name}>{b.name}": b.peers for a in self.hosts for b in self.hosts if a is not b}
         for host in self.hosts:
             targets |= {f"{host.name}>log": self.log, f"{host.name}>list": self.host_list}
-        for name, listen in self.relay_addresses.items():
-            self.relays.add(name, listen, targets.get(name, name))
+        for name, listener in self.listeners.items():
+            self.relays.add(name, listener, targets.get(name, name))
         views = {a.name: {b.name: self.relay_addresses[f"{a.name}>{b.name}"] for b in self.hosts if a is not b} for a in self.hosts}
         self.control(self.host_list, {"views": views})
 
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -14,6 +15,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 FLEET_SECRET = "demo-fleet-secret-0123456789"
 START_SECONDS = 15
+LISTEN_PORTS = (10240, 32768)
 STOP_SECONDS = 20
 
 
@@ -21,12 +23,21 @@
     """Something that the run cannot go on without."""
 
 
+def bound_socket():
+    """Returns a socket bound to a random free port below those that the system gives to outgoing connections."""
+    while True:
+        candidate = socket.socket()
+        try:
+            candidate.bind(("127.0.0.1", random.randrange(*LISTEN_PORTS)))
+            return candidate
+        except OSError:
+            candidate.close()
+
+
 def free_ports(count):
     """Returns `count` different ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
+    sockets = [bound_socket() for _ in range(count)]
     try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
         return [each.getsockname()[1] for each in sockets]
     finally:
         for each in sockets:
--- a/scripts/fleet/relays.py
+++ b/scripts/fleet/relays.py
@@ -14,9 +14,8 @@
     """A relay to one target. A cut direction swallows what is sent into it, without a reset, as a lost packet does;
     after the cut it is delivered late, unless the connection was dropped."""
 
-    def __init__(self, name, listen, target):
-        self.name = name
-        self.listen = listen
+    def __init__(self, listener, target):
+        self.listener = listener
         self.target = target
         self.open = {FORWARD: asyncio.Event(), BACKWARD: asyncio.Event()}
         self.delay = 0.0
@@ -25,8 +24,7 @@
             gate.set()
 
     async def start(self):
-        host, port = self.listen.rsplit(":", 1)
-        self.server = await asyncio.start_server(self.serve, host, int(port))
+        self.server = await asyncio.start_server(self.serve, sock=self.listener)
 
     async def serve(self, reader, writer):
         host, port = self.target.rsplit(":", 1)
@@ -77,10 +75,10 @@
         self.thread.start()
         self.relays = {}
 
-    def add(self, name, listen, target):
-        """Starts a relay from `listen` to `target`."""
+    def add(self, name, listener, target):
+        """Starts a relay from the bound socket `listener` to `target`."""
         async def create():
-            relay = Relay(name, listen, target)
+            relay = Relay(listener, target)
             await relay.start()
             return relay
         self.relays[name] = asyncio.run_coroutine_threadsafe(create(), self.loop).result(START_SECONDS)
