--- a/programs/lacewingctl/Help.cpp
+++ b/programs/lacewingctl/Help.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr int commandColumn = 22;
+    constexpr int commandColumn = 24;
     constexpr int optionColumn = 26;
 
     std::string synopsisOf(const Command& command)
