Limits: a change of pooler no longer starves an account, and a late answer brings no old tokens

Two faults, each with a test that failed first.

Wrongful refusals after a planned stop, a start or any other change of an account's pooler (seen by ctest bookings and configuration as 429). Cause: the last pooler went on renewing its loans for 10 s after the last draw, so the new one got nothing; near the end of its loans it gave no blocks at all; and slices came to the new one up to half a second late. Ruled out: asking every 20 ms (3 refused). The bound itself: an answer to an older loan request that arrives after a newer one brought tokens from before the time for which the slice had been refilled at the pooler. The program keeps one request a lender under way, so only the ledgers were exposed. Such an answer is now dropped.

--- a/packages/limits/lacewingsail/src/Limits/AccountLedger.h
+++ b/packages/limits/lacewingsail/src/Limits/AccountLedger.h
@@ -50,6 +50,9 @@
     std::optional<Pool> pool;
     /// When a host last drew from the pool.
     MonotonicTime drawnAt {};
+    /// When the pool began; for as long as the last pooler may have slices it asks for loans more often.
+    MonotonicTime pooledSince {};
+    MonotonicTime nextEagerBorrow {};
     std::vector<DrawnBlock> blocks;
     std::vector<ClosedBlock> closed;
     /// When closed blocks are reported if there is no draw to report them with.
@@ -59,6 +62,10 @@
     bool drawing = false;
     MonotonicTime nextDrawAt {};
     Duration drawPause {};
+    /// Who gave the last block. When the pooler changes it still has the slices for a while.
+    std::optional<HostId> lastGrantor;
+    /// Whether the next draw goes to \ref lastGrantor, since the chosen pooler gave nothing.
+    bool drawsFallback = false;
 };
 
 /// \brief Takes one token out of a block that is still good, or else out of the own slice, which must be settled.
--- a/packages/limits/lacewingsail/src/Limits/LimitLedgers.cpp
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgers.cpp
@@ -7,8 +7,12 @@
 
 namespace internal {
 
+    /// How often a new pool that has run out asks for loans: slices may still be with the account's last pooler.
+    constexpr std::chrono::milliseconds eagerBorrowInterval { 50 };
     /// How long a pool is kept after the last draw.
     constexpr std::chrono::seconds poolIdleTime { 10 };
+    /// The same, for a pool that other hosts draw from although this host would have chosen another pooler.
+    constexpr std::chrono::milliseconds foreignPoolIdleTime { 500 };
     constexpr std::size_t mostWaiters = 1024;
     /// Time before a request's deadline at which it is refused rather than left waiting.
     constexpr std::chrono::milliseconds answerAhead { 5 };
@@ -97,6 +101,8 @@
     return *std::ranges::max_element(m_poolers, {}, [&](const HostId& host) { return rendezvousWeight(account.value(), host.value()); });
 }
 
+bool LimitLedgers::isPoolerOf(const ClientAccountId& account) const { return poolerOf(account) == m_self; }
+
 std::optional<ResultCode> LimitLedgers::admitOrQueue(const ClientAccountId& account, MonotonicTime deadline, const Admission::Answer& answer)
 {
     Shard& shard = shardOf(account);
@@ -152,6 +158,16 @@
     return *ledger.pool;
 }
 
+// The last pooler's loans lapse within a term.
+bool LimitLedgers::borrowsEagerly(AccountLedger& ledger, bool granted, MonotonicTime now) const
+{
+    const MonotonicTime settledAt = ledger.pooledSince + 2 * m_settings.loanTerm;
+    if (granted || now >= settledAt || now < ledger.nextEagerBorrow)
+        return false;
+    ledger.nextEagerBorrow = now + internal::eagerBorrowInterval;
+    return true;
+}
+
 std::vector<BlockGrant> LimitLedgers::draw(std::span<const DrawWish> wanted)
 {
     std::vector<BlockGrant> grants;
@@ -167,11 +183,18 @@
             closeBlock(pool, closed.id, closed.unspent, now);
         if (wish.demand.waiting == 0)
             continue;
-        ledger->drawnAt = now;
-        if (const auto block = drawBlock(pool, wish.demand, m_settings.blockTerm, now))
-            grants.push_back({ wish.account, block->id, block->tokens, m_settings.blockTerm });
+        if (!wish.demand.fallback)
+            ledger->drawnAt = now;
+        const auto block = drawBlock(pool, wish.demand, m_settings.blockTerm, now);
+        if (block)
+            grants.push_back({ wish.account, block->id, block->tokens, std::chrono::duration_cast<std::chrono::milliseconds>(block->until - now) });
+        if (wish.demand.fallback)
+            continue;
         const std::lock_guard pooledLock(m_mutex);
-        m_newPool = m_pooled.insert(wish.account).second || m_newPool;
+        const bool begins = m_pooled.insert(wish.account).second;
+        if (begins)
+            ledger->pooledSince = now;
+        m_newPool = begins || borrowsEagerly(*ledger, block.has_value(), now) || m_newPool;
     }
     return grants;
 }
@@ -185,9 +208,11 @@
         isNew = std::exchange(m_newPool, false);
     }
     std::erase_if(accounts, [this](const ClientAccountId& account) {
+        // Another pooler gets no slice as long as this host goes on borrowing them.
+        const Duration idleTime = isPoolerOf(account) ? Duration(internal::poolIdleTime) : Duration(internal::foreignPoolIdleTime);
         Shard& shard = shardOf(account);
         const std::lock_guard lock(shard.mutex);
-        if (m_clock.now() < shard.ledgers[account].drawnAt + internal::poolIdleTime)
+        if (m_clock.now() < shard.ledgers[account].drawnAt + idleTime)
             return false;
         const std::lock_guard pooledLock(m_mutex);
         m_pooled.erase(account);
--- a/packages/limits/lacewingsail/src/Limits/LimitLedgers.h
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgers.h
@@ -110,6 +110,8 @@
     void unmarkIfIdle(const AccountLedger&, const ClientAccountId&);
     std::vector<ClientAccountId> busyAccounts() const;
     HostId poolerOf(const ClientAccountId&) const;
+    bool isPoolerOf(const ClientAccountId&) const;
+    bool borrowsEagerly(AccountLedger&, bool granted, MonotonicTime now) const;
     std::map<HostId, DrawWish> wishesOf(AccountLedger&, const ClientAccountId&, MonotonicTime now);
     Pool& poolOf(AccountLedger&);
 
--- a/packages/limits/lacewingsail/src/Limits/LimitLedgersDrawing.cpp
+++ b/packages/limits/lacewingsail/src/Limits/LimitLedgersDrawing.cpp
@@ -32,8 +32,11 @@
     const bool reports = !ledger.closed.empty() && now >= ledger.reportAt;
     if (!draws && !reports)
         return result;
-    if (draws)
-        result[poolerOf(account)].demand = { static_cast<std::uint32_t>(ledger.waiters.size()), reserveFor(ledger.demand) };
+    if (draws) {
+        const HostId chosen = poolerOf(account);
+        const bool fallback = ledger.drawsFallback && ledger.lastGrantor && ledger.lastGrantor != chosen;
+        result[fallback ? *ledger.lastGrantor : chosen].demand = { static_cast<std::uint32_t>(ledger.waiters.size()), reserveFor(ledger.demand), fallback };
+    }
     for (const ClosedBlock& closed : ledger.closed)
         result[closed.pooler].closed.push_back(closed);
     for (auto& [pooler, wish] : result)
@@ -72,7 +75,9 @@
         if (grant != grants.end()) {
             ledger.blocks.push_back({ pooler, grant->block, grant->tokens, endOfUse(askedAt, grant->term) });
             ledger.drawPause = Duration::zero();
+            ledger.lastGrantor = pooler;
         } else {
+            ledger.drawsFallback = !ledger.drawsFallback;
             ledger.drawPause = std::clamp<Duration>(ledger.drawPause * 2, internal::firstDrawPause, internal::longestDrawPause);
         }
         ledger.nextDrawAt = now + ledger.drawPause;
@@ -88,7 +93,9 @@
             continue;
         Shard& shard = shardOf(wish.account);
         const std::lock_guard lock(shard.mutex);
-        shard.ledgers[wish.account].drawing = false;
+        AccountLedger& ledger = shard.ledgers[wish.account];
+        ledger.drawing = false;
+        ledger.drawsFallback = !ledger.drawsFallback;
     }
 }
 
--- a/packages/limits/lacewingsail/src/Limits/LimitMessages.cpp
+++ b/packages/limits/lacewingsail/src/Limits/LimitMessages.cpp
@@ -66,6 +66,7 @@
         entry.set_account(wish.account.value());
         entry.set_waiting(wish.demand.waiting);
         entry.set_reserve(wish.demand.reserve);
+        entry.set_fallback(wish.demand.fallback);
         for (const ClosedBlock& closed : wish.closed) {
             protocol::ClosedBlock& block = *entry.add_closed();
             block.set_block(closed.id);
@@ -79,7 +80,7 @@
 {
     std::vector<DrawWish> wishes;
     for (const protocol::DrawEntry& entry : request.entries()) {
-        DrawWish wish { ClientAccountId(entry.account()), { entry.waiting(), entry.reserve() }, {} };
+        DrawWish wish { ClientAccountId(entry.account()), { entry.waiting(), entry.reserve(), entry.fallback() }, {} };
         for (const protocol::ClosedBlock& closed : entry.closed())
             wish.closed.push_back({ {}, closed.block(), closed.unspent() });
         wishes.push_back(std::move(wish));
--- a/packages/policy/lacewingsail/src/Policy/Pool.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Pool.cpp
@@ -8,6 +8,8 @@
 
     /// Of what is left after the requests that wait, one part in this many is given as a reserve.
     constexpr std::int64_t reserveParts = 8;
+    /// A block that ends sooner than this would lapse on its way.
+    constexpr std::chrono::milliseconds shortestBlock { 20 };
 
     Slice lentUntil(const Pool& pool, MonotonicTime instant)
     {
@@ -47,6 +49,16 @@
         pool.refilledAt += elapsed;
     }
 
+    // A block ends with the last loan at the latest, so that a slice goes back only after all blocks drawn on it. While
+    // the loans run out, as after a change of pooler, blocks become shorter instead of ceasing.
+    MonotonicTime blockEnd(const Pool& pool, std::chrono::milliseconds term, MonotonicTime now)
+    {
+        MonotonicTime lastLoan {};
+        for (const PoolLoan& loan : pool.loans)
+            lastLoan = std::max(lastLoan, loan.until);
+        return std::min(now + std::chrono::duration_cast<Duration>(term), lastLoan);
+    }
+
     MonotonicTime nextLapse(const Pool& pool)
     {
         MonotonicTime next = MonotonicTime::max();
@@ -76,7 +88,12 @@
     advance(pool, now);
     if (loan.until <= now)
         return;
-    std::erase_if(pool.loans, [&](const PoolLoan& known) { return known.lender == loan.lender; });
+    const auto known = std::ranges::find(pool.loans, loan.lender, &PoolLoan::lender);
+    // An older answer that arrives late brings tokens from before the time for which the slice has been refilled here.
+    if (known != pool.loans.end() && known->until >= loan.until)
+        return;
+    if (known != pool.loans.end())
+        pool.loans.erase(known);
     pool.loans.push_back(loan);
     pool.level = pool.level + level;
     internal::clamp(pool);
@@ -85,8 +102,10 @@
 std::optional<PoolBlock> drawBlock(Pool& pool, DrawDemand demand, std::chrono::milliseconds term, MonotonicTime now)
 {
     advance(pool, now);
-    // Only loans that outlast the block stand behind it, so that a slice goes back only after all blocks drawn on it.
-    const MonotonicTime until = now + term;
+    const MonotonicTime until = internal::blockEnd(pool, term, now);
+    if (until < now + internal::shortestBlock)
+        return std::nullopt;
+    // Only loans that outlast the block stand behind it.
     const MicroTokens backing = internal::lentUntil(pool, until).burst - internal::out(pool);
     const std::int64_t available = std::max<std::int64_t>(0, std::min(pool.level, backing).value / oneToken.value);
     const std::int64_t forWaiting = std::min<std::int64_t>(demand.waiting, available);
--- a/packages/policy/lacewingsail/src/Policy/Pool.h
+++ b/packages/policy/lacewingsail/src/Policy/Pool.h
@@ -44,16 +44,19 @@
     std::uint32_t waiting = 0;
     /// For requests that are expected.
     std::uint32_t reserve = 0;
+    /// The drawer has chosen another pooler, which has nothing yet.
+    bool fallback = false;
 };
 
 /// \brief Lets time pass: refills, and drops the loans and blocks that have lapsed.
 void advance(Pool&, MonotonicTime now);
 
-/// \brief Adds a loan, or replaces the one of the same lender. One that has lapsed already is ignored.
+/// \brief Adds a loan, or replaces the one of the same lender. One that has lapsed already is ignored, and so is one
+/// that ends no later than the known one, together with its tokens.
 /// \param level the tokens handed over with it.
 void addLoan(Pool&, const PoolLoan&, MicroTokens level, MonotonicTime now);
 
-/// \brief Gives out a block that lapses after \p term.
+/// \brief Gives out a block that lapses after \p term, or sooner if no loan lasts that long.
 /// \returns nothing if there is no token to give.
 std::optional<PoolBlock> drawBlock(Pool&, DrawDemand, std::chrono::milliseconds term, MonotonicTime now);
 
