--- a/packages/host/lacewingsail/src/Host/EntryHost.cpp
+++ b/packages/host/lacewingsail/src/Host/EntryHost.cpp
@@ -137,8 +137,10 @@
     configurationPeers->start();
     logKeeper = std::make_unique<LogKeeper>(LogKeeperParts { settings, clock, configuration, freshnessTracker, checkpointAge, *membership, journal }, std::make_unique<HttpLogService>(settings.log));
     operatorApi = std::make_unique<OperatorApi>(OperatorView { settings, clock, snapshot, configuration, *membership, metrics, journal, draining, ejections });
-    if (pooledAdmission)
+    if (pooledAdmission) {
         operatorApi->showSlots([this] { return SlotsInUse { pooledAdmission->incarnation(), pooledAdmission->held(), pooledAdmission->slots() }; });
+        operatorApi->readyIf([this] { return pooledAdmission->ready(); });
+    }
     evidencePeers = std::make_unique<EvidencePeers>(settings, detection, *membership, channels, metrics);
     detectionController = std::make_unique<DetectionController>(DetectionServices {
         detection, evidence, *evidencePeers, [this] { publisher.updateStandings(); }, [this] { return snapshot.current(); } });
--- a/packages/host/lacewingsail/src/Host/OperatorApi.cpp
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.cpp
@@ -85,7 +85,8 @@
         return internal::plain(200, "ok\n");
     if (path == "/readyz") {
         const auto snapshot = m_view.snapshot.current();
-        const bool ready = !m_view.draining && snapshot->tables && !keysAreStale(*snapshot, m_view.clock.now());
+        const bool admits = !m_readyIf || m_readyIf();
+        const bool ready = !m_view.draining && snapshot->tables && !keysAreStale(*snapshot, m_view.clock.now()) && admits;
         return internal::plain(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
     }
     if (path == "/metrics")
--- a/packages/host/lacewingsail/src/Host/OperatorApi.h
+++ b/packages/host/lacewingsail/src/Host/OperatorApi.h
@@ -46,6 +46,9 @@
     /// \brief Sets where the slots come from; to be called before any request is answered.
     void showSlots(std::function<SlotsInUse()> slots) { m_slots = std::move(slots); }
 
+    /// \brief Sets what else must hold before the host calls itself ready.
+    void readyIf(std::function<bool()> condition) { m_readyIf = std::move(condition); }
+
     HttpResponse answer(const HttpRequest&) const;
 
 private:
@@ -60,6 +63,7 @@
 
     const OperatorView m_view;
     std::function<SlotsInUse()> m_slots;
+    std::function<bool()> m_readyIf;
 };
 
 } // namespace lacewingsail
--- a/packages/limits/lacewingsail/src/Limits/PooledAdmission.cpp
+++ b/packages/limits/lacewingsail/src/Limits/PooledAdmission.cpp
@@ -170,6 +170,8 @@
     m_implementation->keeper.giveUpAll();
 }
 
+bool PooledAdmission::ready() const { return m_implementation->keeper.ready(); }
+
 bool PooledAdmission::gaveUpSlots() const { return m_implementation->keeper.gaveUpAll(); }
 
 std::vector<SlotState> PooledAdmission::slots() const { return m_implementation->keeper.slots(); }
--- a/packages/limits/lacewingsail/src/Limits/PooledAdmission.h
+++ b/packages/limits/lacewingsail/src/Limits/PooledAdmission.h
@@ -42,6 +42,9 @@
     /// \returns whether giving them back has come to its end.
     bool gaveUpSlots() const;
 
+    /// \returns whether requests can be admitted. \sa SlotKeeper::ready
+    bool ready() const;
+
     /// \returns who holds which slot, by the records of the log read so far.
     std::vector<SlotState> slots() const;
 
--- a/packages/limits/lacewingsail/src/Limits/SlotKeeper.cpp
+++ b/packages/limits/lacewingsail/src/Limits/SlotKeeper.cpp
@@ -2,6 +2,7 @@
 
 #include <lacewingsail/Wire.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace lacewingsail {
@@ -11,6 +12,8 @@
     constexpr std::chrono::milliseconds slotPoll { 100 };
     constexpr std::chrono::milliseconds slotPauseAfterError { 200 };
     constexpr int recordIdBytes = 12;
+    /// How long a starting host waits for the log before it relies on the other hosts alone.
+    constexpr std::chrono::seconds patienceForLog { 2 };
     /// How long a planned stop waits for the log to take the releases, on top of the loans' term.
     constexpr std::chrono::seconds releasePatience { 5 };
 
@@ -25,6 +28,7 @@
     : m_log(std::move(log))
     , m_terms(terms)
     , m_clock(clock)
+    , m_startedAt(clock.now())
     , m_journal(journal)
     , m_hosts(std::move(hosts))
     , m_listener(std::move(listener))
@@ -54,6 +58,15 @@
     return m_claims.fold().slots;
 }
 
+bool SlotKeeper::ready() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_begun)
+        return m_clock.now() >= m_startedAt + internal::patienceForLog;
+    const std::vector<SlotState>& slots = m_claims.fold().slots;
+    return std::ranges::any_of(slots, [](const SlotState& slot) { return !slot.holder.empty(); });
+}
+
 HeldSlots SlotKeeper::held() const
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/limits/lacewingsail/src/Limits/SlotKeeper.h
+++ b/packages/limits/lacewingsail/src/Limits/SlotKeeper.h
@@ -42,6 +42,10 @@
     /// \returns who holds which slot, by the records read so far.
     std::vector<SlotState> slots() const;
 
+    /// \returns whether requests can be admitted: some host holds a slot, or the log has been away since the start, so
+    /// that the other hosts' slots are not known.
+    bool ready() const;
+
     /// \returns the slots that this host may use.
     HeldSlots held() const;
 
@@ -56,6 +60,7 @@
     const std::unique_ptr<LogService> m_log;
     const SlotTerms m_terms;
     const Clock& m_clock;
+    const MonotonicTime m_startedAt;
     Journal& m_journal;
     const Hosts m_hosts;
     const Listener m_listener;
--- a/tests/LimitLedgersTest.cpp
+++ b/tests/LimitLedgersTest.cpp
@@ -235,6 +235,24 @@
     CHECK(withinLimit());
 }
 
+// Listed in KNOWN-RED.txt.
+TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, host that never drew asks a new pooler, refuse nothing inside half the rate" * doctest::should_fail())
+{
+    addHosts();
+    const auto weight = [this](const HostId& host) { return rendezvousWeight(account.value(), host.value()); };
+    std::vector<HostId> all { HostId("a"), HostId("b"), HostId("c") };
+    std::ranges::sort(all, {}, weight);
+    for (int step = 0; step < 12'000; ++step) {
+        tick(1ms);
+        const bool away = step >= 5000;
+        for (auto& host : hosts)
+            host->ledgers->setPoolers(away ? std::vector<HostId> { all[0], all[1] } : all);
+        if (step % 50 == 0)
+            request(away ? indexOf(all[0]) : indexOf(all[2]));
+    }
+    CHECK(refused == 0);
+}
+
 TEST_CASE_FIXTURE(LimitLedgersFixture, "ledgers, lease on the slots has ended, admit nothing")
 {
     addHosts();
