--- a/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
+++ b/packages/detection/lacewingsail/src/Detection/DetectionState.cpp
@@ -1,5 +1,7 @@
 #include <lacewingsail/Detection.h>
 
+#include "EvidenceTables.h"
+
 #include <algorithm>
 #include <set>
 
@@ -8,36 +10,10 @@
 namespace internal {
 
     constexpr std::chrono::seconds consecutiveWindow { 30 };
-    constexpr std::chrono::seconds digestLifetime { 10 };
-    constexpr std::size_t announcersThatCount = 2;
-    // Shorter than the hold, so that a server's return is not undone by the news of its ejection.
-    constexpr std::chrono::milliseconds condemnationLifetime { 1500 };
-    constexpr double recentAttempts = 0.3;
-    constexpr double worthTelling = 0.2;
-    constexpr std::size_t mostToldServers = 64;
     constexpr std::uint64_t answersOfTheRest = 3;
     constexpr int baselineConsecutiveErrors = 5;
     constexpr std::chrono::seconds baselineEjection { 30 };
 
-    bool isFresh(const PeerDigest& digest, MonotonicTime now) { return now - digest.heardAt < digestLifetime; }
-
-    bool contains(const std::vector<ServerHash>& list, ServerHash server) { return std::find(list.begin(), list.end(), server) != list.end(); }
-
-    bool failsMostly(const EvidenceCounts& counts) { return counts.attempts >= recentAttempts && counts.bad * 2 >= counts.attempts; }
-
-    EvidenceCounts faded(EvidenceCounts counts, MonotonicTime now)
-    {
-        fade(counts, now);
-        return counts;
-    }
-
-    template <typename Key>
-    EvidenceCounts countsIn(const std::map<Key, EvidenceCounts>& table, Key key, MonotonicTime now)
-    {
-        const auto found = table.find(key);
-        return found == table.end() ? EvidenceCounts {} : faded(found->second, now);
-    }
-
 } // namespace internal
 
 DetectionState::DetectionState(const HostSettings& settings, const Clock& clock, Journal& journal)
@@ -83,14 +59,6 @@
     }
 }
 
-void DetectionState::take(PeerDigest digest)
-{
-    const std::lock_guard lock(m_mutex);
-    digest.heardAt = m_clock.now();
-    HostId host = digest.host;
-    m_digests[std::move(host)] = std::move(digest);
-}
-
 FleetStandings DetectionState::decide(const Configuration& configuration)
 {
     const std::lock_guard lock(m_mutex);
@@ -144,14 +112,6 @@
     std::erase_if(record.servers, [&](const auto& entry) { return !configured.contains(entry.first); });
 }
 
-bool DetectionState::accusedElsewhere(ServerHash server) const
-{
-    return std::any_of(m_digests.begin(), m_digests.end(), [server](const auto& entry) {
-        const auto found = entry.second.servers.find(server);
-        return found != entry.second.servers.end() && internal::failsMostly(found->second);
-    });
-}
-
 // Failures that nobody else sees, at many servers of every service in use, have their cause near this host.
 bool DetectionState::suspectsLink(MonotonicTime now)
 {
@@ -175,17 +135,6 @@
     return anyService;
 }
 
-std::vector<Testimony> DetectionState::testimonies(std::uint64_t service, ServerHash server, MonotonicTime now) const
-{
-    std::vector<Testimony> result;
-    for (const auto& [host, digest] : m_digests) {
-        if (digest.linkSuspect || !digest.servers.contains(server))
-            continue;
-        result.push_back({ digest.zone, internal::countsIn(digest.servers, server, now), internal::countsIn(digest.services, service, now) });
-    }
-    return result;
-}
-
 // Failures in a row while the rest of the service answered; none if the rest failed too.
 int DetectionState::failuresAlone(const ServiceRecord& service, const ServerRecord& server, MonotonicTime now)
 {
@@ -305,69 +254,6 @@
     m_journal.record(event);
 }
 
-bool DetectionState::announcedElsewhere(ServerHash server, MonotonicTime now) const
-{
-    const auto announces = [&](const auto& entry) { return internal::isFresh(entry.second, now) && internal::contains(entry.second.ejected, server); };
-    return static_cast<std::size_t>(std::count_if(m_digests.begin(), m_digests.end(), announces)) >= internal::announcersThatCount;
-}
-
-// Hosts that eject send a server nothing more, so that the last ones would wait long for evidence of their own. They
-// follow several hosts that the same evidence convinced; a condemnation that was only followed is not passed on.
-bool DetectionState::condemnedElsewhere(const ZoneId& serverZone, ServerHash server, MonotonicTime now) const
-{
-    std::set<ZoneId> zones;
-    std::size_t hosts = 0;
-    for (const auto& [host, digest] : m_digests) {
-        if (digest.linkSuspect || now - digest.heardAt >= internal::condemnationLifetime || !internal::contains(digest.condemned, server))
-            continue;
-        ++hosts;
-        zones.insert(digest.zone);
-    }
-    return hosts >= internal::announcersThatCount && (zones.size() >= 2 || zones.contains(serverZone));
-}
-
-bool DetectionState::leavingElsewhere(ServerHash server, MonotonicTime now) const
-{
-    return std::any_of(m_digests.begin(), m_digests.end(), [&](const auto& entry) {
-        return internal::isFresh(entry.second, now) && internal::contains(entry.second.leaving, server);
-    });
-}
-
-PeerDigest DetectionState::digest()
-{
-    const std::lock_guard lock(m_mutex);
-    const MonotonicTime now = m_clock.now();
-    PeerDigest digest { m_settings.id, m_settings.zone, now, m_linkSuspect, {}, {}, {}, {}, {} };
-    std::vector<std::pair<double, std::pair<ServerHash, EvidenceCounts>>> worst;
-    for (auto& [service, record] : m_services) {
-        fade(record.counts, now);
-        bool anything = false;
-        for (auto& [server, serverRecord] : record.servers) {
-            const ServerHash hash = serverHash(service, server);
-            fade(serverRecord.counts, now);
-            const EvidenceCounts& counts = serverRecord.counts;
-            const bool complains = counts.bad + counts.slow >= internal::worthTelling;
-            const bool answersComplaint = counts.attempts >= internal::worthTelling && std::any_of(m_digests.begin(), m_digests.end(), [hash](const auto& entry) { return entry.second.servers.contains(hash); });
-            if (complains || answersComplaint)
-                worst.push_back({ counts.bad + counts.slow / 2, { hash, counts } });
-            anything = anything || complains || answersComplaint;
-            if (serverRecord.standing == Standing::Ejected)
-                digest.ejected.push_back(hash);
-            if (now - serverRecord.condemnedByFleetAt < internal::condemnationLifetime)
-                digest.condemned.push_back(hash);
-            if (serverRecord.saidLeaving)
-                digest.leaving.push_back(hash);
-        }
-        if (anything)
-            digest.services.emplace(stableHash(service.value()), record.counts);
-    }
-    std::sort(worst.begin(), worst.end(), [](const auto& left, const auto& right) { return left.first > right.first; });
-    worst.resize(std::min(worst.size(), internal::mostToldServers));
-    for (auto& [badness, entry] : worst)
-        digest.servers.insert(entry);
-    return digest;
-}
-
 void DetectionState::serve(const FleetSnapshot& snapshot)
 {
     if (!snapshot.tables || m_settings.strategy != DispatchStrategy::Evidence)
@@ -401,48 +287,4 @@
         load.probes.store(1, std::memory_order_relaxed);
 }
 
-bool DetectionState::confirm(const ServiceId& service, const BackendServerId& server, const std::string& author)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return false;
-    const auto record = found->second.servers.find(server);
-    if (record == found->second.servers.end() || !record->second.proposed)
-        return false;
-    record->second.confirmed = true;
-    m_journal.record(Event("ejection-confirmed").with("service", service).with("server", server).with("author", author));
-    return true;
-}
-
-bool DetectionState::pin(const ServiceId& service, const BackendServerId& server, Pin pin)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_services.find(service);
-    if (found == m_services.end())
-        return false;
-    const auto record = found->second.servers.find(server);
-    if (record == found->second.servers.end())
-        return false;
-    m_journal.record(Event("server-pinned").with("service", service).with("server", server).with("author", pin.author).with("to", pin.kind == Pin::Kind::Serving ? "serving" : "ejected"));
-    record->second.pin = std::move(pin);
-    return true;
-}
-
-std::vector<ServerReport> DetectionState::reports()
-{
-    const std::lock_guard lock(m_mutex);
-    const MonotonicTime now = m_clock.now();
-    std::vector<ServerReport> result;
-    for (const auto& [service, record] : m_services) {
-        for (const auto& [server, each] : record.servers) {
-            const Percent share = shareAt(each.recovery, now);
-            const bool plain = each.standing == Standing::Serving && share.value == 100 && each.judgement.badness < internal::worthTelling && !each.pin;
-            if (!plain)
-                result.push_back({ service, server, each.standing, share, each.rule, each.judgement, each.proposed, each.pin });
-        }
-    }
-    return result;
-}
-
 } // namespace lacewingsail
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -15,7 +15,9 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 FLEET_SECRET = "demo-fleet-secret-0123456789"
 START_SECONDS = 15
-LISTEN_PORTS = (10240, 32768)
+LISTEN_PORTS = (10000, 28000)
+PORTS_A_PROCESS = 1500
+HANDED_OUT = set()
 STOP_SECONDS = 20
 
 
@@ -24,16 +26,28 @@
 
 
 def bound_socket():
-    """Returns a socket bound to a random free port below those that the system gives to outgoing connections."""
+    """Returns a socket bound to a free port below those that the system gives to outgoing connections. No port comes
+    twice in one run: whom it was meant for may not have bound it yet."""
     while True:
+        port = random.randrange(*own_ports())
+        if port in HANDED_OUT:
+            continue
         candidate = socket.socket()
         try:
-            candidate.bind(("127.0.0.1", random.randrange(*LISTEN_PORTS)))
+            candidate.bind(("127.0.0.1", port))
+            HANDED_OUT.add(port)
             return candidate
         except OSError:
             candidate.close()
 
 
+def own_ports():
+    """Returns the range of ports of this process, so that fleets of neighbouring processes do not meet."""
+    ranges = (LISTEN_PORTS[1] - LISTEN_PORTS[0]) // PORTS_A_PROCESS
+    first = LISTEN_PORTS[0] + os.getpid() % ranges * PORTS_A_PROCESS
+    return first, first + PORTS_A_PROCESS
+
+
 def free_ports(count):
     """Returns `count` different ports that were free a moment ago."""
     sockets = [bound_socket() for _ in range(count)]
