--- a/tests/configuration_test.py
+++ b/tests/configuration_test.py
@@ -91,6 +91,8 @@
         wait_until(lambda: self.lookup(hosts[0]) == (401, 203), "a restarted host to refuse the key")
 
     def test_boot_log_away_takes_version_and_keys_from_peers(self):
+        # The first host to start holds every slot for a moment; if it died then, nothing could be admitted.
+        wait_until(lambda: all(self.status(host)["limit_slots"]["held"] for host in self.fleet.hosts[1:3]), "two other hosts to hold a limit slot", 30)
         self.fleet.ctl("keys", "withdraw", "key-gotland")
         self.set_log(outage=True)
         self.restart(self.fleet.hosts[0])
