--- /dev/null
+++ b/packages/discovery/lacewingsail/src/Discovery/ForwardDeclarations.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace lacewingsail {
+
+class ActiveConfiguration;
+class RecordLog;
+class ServerRegistry;
+class StoreFollower;
+
+struct KeyedRecord;
+struct LogReading;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/Exchange.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/// \brief Umbrella header of the package `exchange`: what gateway hosts tell each other. One periodic call carries the
+/// configuration, the backend servers, their use, and who is alive; a second one draws tokens of client accounts.
+
+#include <lacewingsail/Discovery.h>
+#include <lacewingsail/Policy.h>
+
+#include "src/Exchange/ForwardDeclarations.h"
+
+#include "src/Exchange/FleetDirectory.h"
+#include "src/Exchange/UseBook.h"
+
+#include "src/Exchange/AccountTokens.h"
+#include "src/Exchange/FleetExchange.h"
+#include "src/Exchange/GatewayCalls.h"
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountTokens.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "FleetDirectory.h"
+#include "GatewayCalls.h"
+
+#include <lacewingsail/Discovery.h>
+
+#include <functional>
+#include <map>
+
+namespace lacewingsail {
+
+/// \brief Holds client accounts to their rate and burst across all hosts.
+///
+/// For each account the fleet agrees on one host that keeps its tokens, by rendezvous hashing over the live hosts; the
+/// others draw from it, and from the second in order while it does not answer.
+class AccountTokens {
+public:
+    using Answer = std::function<void(DrawResult)>;
+
+    AccountTokens(FleetDirectory&, ActiveConfiguration&, const Clock&);
+
+    /// \brief Sets the calls to other hosts; without them every account is kept here.
+    void connect(GatewayCalls& calls) { m_calls = &calls; }
+
+    /// \brief Takes one token of \p account, which has a rate.
+    /// \param answer called once, at once or later: granted 1, or when to come back.
+    void take(const ClientAccount& account, Answer answer);
+
+    /// \brief Answers another host's demand. \returns nothing if the account is not known.
+    std::optional<DrawResult> give(const TokenDemand&);
+
+private:
+    struct Local {
+        AccountPool pool;
+        DrawnTokens drawn;
+        /// Requests a second, smoothed.
+        double demand = 0;
+        MonotonicTime demandAt {};
+    };
+
+    int wanted(Local&) const;
+    DrawResult drawHere(const ClientAccount&, int wanted, PoolRank);
+    void ask(const ClientAccountId&, std::vector<LiveHost> keepers, std::size_t rank, int wanted, Answer);
+    void finish(const ClientAccountId&, DrawResult, const Answer&);
+
+    FleetDirectory& m_directory;
+    ActiveConfiguration& m_active;
+    const Clock& m_clock;
+    GatewayCalls* m_calls = nullptr;
+    std::map<ClientAccountId, Local> m_accounts;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <lacewingsail/Exchange.h>
+
+#include <lacewingsail/exchange.grpc.pb.h>
+
+namespace lacewingsail::internal {
+
+/// \brief Conversions between the messages of exchange.proto and the structs of the product. Malformed parts of a message
+/// are left out.
+void encode(const LiveHost&, std::chrono::milliseconds age, bool leaving, protocol::GatewayHost&);
+std::optional<LiveHost> decode(const protocol::GatewayHost&);
+
+void encode(const UseOfServers&, google::protobuf::RepeatedPtrField<protocol::UseOfServer>&);
+UseOfServers decode(const google::protobuf::RepeatedPtrField<protocol::UseOfServer>&);
+
+void encode(const ZoneUse&, MonotonicTime now, protocol::UseOfZone&);
+ZoneUse decode(const protocol::UseOfZone&, MonotonicTime now);
+
+void encode(const ServerChange&, protocol::ServerNews&);
+std::optional<ServerChange> decode(const protocol::ServerNews&);
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -0,0 +1,213 @@
+#include <lacewingsail/Exchange.h>
+
+#include "ExchangeMessages.h"
+
+#include <algorithm>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // After its start a host also asks the seeds: the hosts of a fleet that starts at once know only some of each other.
+    constexpr std::chrono::seconds acquaintance { 4 };
+    // Older knowledge makes a host ask the second relay too.
+    constexpr std::chrono::milliseconds staleKnowledge { 1200 };
+
+    std::chrono::milliseconds since(MonotonicTime now, MonotonicTime then)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - then);
+    }
+
+    std::optional<std::uint32_t> ageOf(MonotonicTime now, MonotonicTime asOf)
+    {
+        if (asOf == MonotonicTime {})
+            return std::nullopt;
+        return static_cast<std::uint32_t>(std::max<std::int64_t>(0, since(now, asOf).count()));
+    }
+
+} // namespace internal
+
+FleetExchange::FleetExchange(FleetExchangeParts parts)
+    : m_parts(std::move(parts))
+    , m_startedAt(m_parts.clock.now())
+{
+}
+
+bool FleetExchange::isRelay() const
+{
+    const auto live = m_parts.directory.live(m_parts.clock.now());
+    const LiveHost& self = m_parts.directory.self();
+    const auto relays = relaysOf(live, self.zone);
+    return std::ranges::any_of(relays, [&](const LiveHost* host) { return host->id == self.id; });
+}
+
+bool FleetExchange::isStale() const
+{
+    const MonotonicTime now = m_parts.clock.now();
+    const MonotonicTime asOf = std::min(m_parts.follower.configurationAsOf(), m_parts.follower.serversAsOf());
+    return now - asOf >= internal::staleKnowledge;
+}
+
+std::vector<Endpoint> FleetExchange::targets() const
+{
+    const MonotonicTime now = m_parts.clock.now();
+    const LiveHost& self = m_parts.directory.self();
+    const auto live = m_parts.directory.live(now);
+    std::vector<Endpoint> targets;
+    const auto add = [&](const Endpoint& endpoint) {
+        if (endpoint != self.peers && std::ranges::find(targets, endpoint) == targets.end())
+            targets.push_back(endpoint);
+    };
+    const auto relays = relaysOf(live, self.zone);
+    const bool relay = std::ranges::any_of(relays, [&](const LiveHost* host) { return host->id == self.id; });
+    for (std::size_t rank = 0; rank < relays.size(); ++rank) {
+        if (rank == 0 || relay || isStale())
+            add(relays[rank]->peers);
+    }
+    if (relay) {
+        std::set<ZoneId> zones;
+        for (const LiveHost& host : live)
+            zones.insert(host.zone);
+        for (const ZoneId& zone : zones) {
+            for (const LiveHost* host : relaysOf(live, zone))
+                add(host->peers);
+        }
+    }
+    if (live.size() <= 1 || now - m_startedAt < internal::acquaintance) {
+        for (const Endpoint& seed : m_parts.seeds)
+            add(seed);
+    }
+    return targets;
+}
+
+void FleetExchange::tick()
+{
+    if (!m_calls)
+        return;
+    m_parts.uses.reportOwn(m_parts.ownUse(), m_parts.clock.now());
+    m_parts.directory.forgetSilent(m_parts.clock.now());
+    for (const Endpoint& target : targets())
+        call(target);
+}
+
+void FleetExchange::fillNews(const Known& known, protocol::FleetNews& news) const
+{
+    const MonotonicTime now = m_parts.clock.now();
+    news.set_configuration_version(number(m_parts.active.version()));
+    if (known.configuration < m_parts.active.version())
+        news.set_configuration(m_parts.active.text());
+    if (const auto age = internal::ageOf(now, m_parts.follower.configurationAsOf()))
+        news.set_configuration_age_ms(*age);
+    if (const auto age = internal::ageOf(now, m_parts.follower.serversAsOf()))
+        news.set_servers_age_ms(*age);
+    news.set_servers_end(number(m_parts.registry.end()));
+    const auto changes = m_parts.registry.changesSince(known.serversEnd, now);
+    news.set_all_servers(!changes);
+    news.set_servers_from(number(known.serversEnd));
+    for (const ServerChange& change : changes ? *changes : m_parts.registry.everything(now))
+        internal::encode(change, *news.add_servers());
+}
+
+template <typename Message>
+void FleetExchange::fillHosts(Message& message) const
+{
+    const MonotonicTime now = m_parts.clock.now();
+    const FleetDirectory& directory = m_parts.directory;
+    internal::encode(directory.self(), {}, directory.leaving(), *message.mutable_sender());
+    for (const auto& [id, entry] : directory.entries())
+        internal::encode(entry.host, internal::since(now, entry.heardAt), entry.leaving, *message.add_hosts());
+}
+
+template <typename Message>
+void FleetExchange::takeHosts(const Message& message)
+{
+    const MonotonicTime now = m_parts.clock.now();
+    if (const auto sender = internal::decode(message.sender())) {
+        m_parts.directory.heard(*sender, now, message.sender().leaving());
+        m_parts.directory.answered(sender->id);
+    }
+    for (const protocol::GatewayHost& entry : message.hosts()) {
+        if (const auto host = internal::decode(entry))
+            m_parts.directory.heard(*host, now - std::chrono::milliseconds(entry.age_ms()), entry.leaving());
+    }
+}
+
+void FleetExchange::takeNews(const protocol::FleetNews& news)
+{
+    const MonotonicTime now = m_parts.clock.now();
+    bool changed = !news.configuration().empty() && m_parts.active.take(news.configuration());
+    std::vector<ServerChange> changes;
+    for (const protocol::ServerNews& message : news.servers()) {
+        if (auto change = internal::decode(message))
+            changes.push_back(std::move(*change));
+    }
+    const LogOffset end { news.servers_end() };
+    const LogOffset before = m_parts.registry.end();
+    const bool complete = news.all_servers() || before >= LogOffset { news.servers_from() };
+    // Everything that an older sender knows says nothing about servers that it has not heard of.
+    if (news.all_servers() && end >= before && end != LogOffset {})
+        changed = m_parts.registry.replace(changes, end, m_parts.follower.trust(), now) || changed;
+    else
+        for (const ServerChange& change : changes)
+            changed = m_parts.registry.apply(change, StoreTrust::Sound, now) || changed;
+    // Knowledge counts as fresh only if it includes what this host has.
+    const bool hasConfiguration = number(m_parts.active.version()) >= news.configuration_version();
+    const MonotonicTime never {};
+    const MonotonicTime configurationAsOf = news.has_configuration_age_ms() && hasConfiguration ? now - std::chrono::milliseconds(news.configuration_age_ms()) : never;
+    const MonotonicTime serversAsOf = news.has_servers_age_ms() && complete ? now - std::chrono::milliseconds(news.servers_age_ms()) : never;
+    if (serversAsOf != never)
+        m_parts.registry.readTo(end);
+    m_parts.follower.heard(configurationAsOf, serversAsOf);
+    if (changed)
+        m_parts.changed();
+}
+
+void FleetExchange::call(const Endpoint& target)
+{
+    auto request = std::make_unique<protocol::ExchangeRequest>();
+    const MonotonicTime now = m_parts.clock.now();
+    fillNews(m_known[target], *request->mutable_news());
+    fillHosts(*request);
+    if (!isRelay())
+        request->clear_hosts();
+    internal::encode(m_parts.ownUse(), *request->mutable_use());
+    if (isRelay()) {
+        for (const ZoneUse& zone : m_parts.uses.zones(now)) {
+            if (zone.zone == m_parts.directory.self().zone)
+                internal::encode(zone, now, *request->add_zones());
+        }
+    }
+    m_calls->exchange(target, std::move(request), [this, target](const protocol::ExchangeReply* reply) {
+        if (!reply) {
+            for (const auto& [id, entry] : m_parts.directory.entries()) {
+                if (entry.host.peers == target)
+                    m_parts.directory.failed(id, m_parts.clock.now());
+            }
+            m_known.erase(target);
+            return;
+        }
+        m_known[target] = { ConfigurationVersion { reply->news().configuration_version() }, LogOffset { reply->news().servers_end() } };
+        takeHosts(*reply);
+        takeNews(reply->news());
+        for (const protocol::UseOfZone& zone : reply->zones())
+            m_parts.uses.sumsOf(internal::decode(zone, m_parts.clock.now()), m_parts.clock.now());
+    });
+}
+
+void FleetExchange::answer(const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply)
+{
+    const MonotonicTime now = m_parts.clock.now();
+    takeHosts(request);
+    takeNews(request.news());
+    const auto sender = internal::decode(request.sender());
+    if (sender && sender->zone == m_parts.directory.self().zone)
+        m_parts.uses.reportOf(sender->id, internal::decode(request.use()), now);
+    for (const protocol::UseOfZone& zone : request.zones())
+        m_parts.uses.sumsOf(internal::decode(zone, now), now);
+    fillNews({ ConfigurationVersion { request.news().configuration_version() }, LogOffset { request.news().servers_end() } }, *reply.mutable_news());
+    fillHosts(reply);
+    for (const ZoneUse& zone : m_parts.uses.zones(now))
+        internal::encode(zone, now, *reply.add_zones());
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "FleetDirectory.h"
+#include "GatewayCalls.h"
+#include "UseBook.h"
+
+#include <lacewingsail/Discovery.h>
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace lacewingsail {
+
+/// \brief What the exchange works on.
+struct FleetExchangeParts {
+    const Clock& clock;
+    FleetDirectory& directory;
+    ActiveConfiguration& active;
+    ServerRegistry& registry;
+    StoreFollower& follower;
+    UseBook& uses;
+    /// Hosts to ask while no other is known.
+    std::vector<Endpoint> seeds;
+    /// \returns what this host has with the backend servers now.
+    std::function<UseOfServers()> ownUse;
+    /// Called after the configuration or the servers in use changed.
+    std::function<void()> changed;
+};
+
+/// \brief The periodic exchange with the relays of the own availability zone and, on relays, with all other relays.
+///
+/// All calls are on the event loop's thread.
+class FleetExchange {
+public:
+    explicit FleetExchange(FleetExchangeParts);
+
+    void connect(GatewayCalls& calls) { m_calls = &calls; }
+
+    /// \brief Tells the relays what is new here and asks them; to be called every \ref interval.
+    void tick();
+
+    /// \brief Answers another host.
+    void answer(const protocol::ExchangeRequest&, protocol::ExchangeReply&);
+
+    /// \returns whether this host is a relay of its availability zone.
+    bool isRelay() const;
+
+    /// \brief Time between two exchanges: two of them and a read of the store fit into the operators' bound of 2 s.
+    static constexpr std::chrono::milliseconds interval { 500 };
+
+private:
+    /// \brief What another host is known to have.
+    struct Known {
+        ConfigurationVersion configuration = ConfigurationVersion::None;
+        LogOffset serversEnd {};
+    };
+
+    std::vector<Endpoint> targets() const;
+    void call(const Endpoint&);
+    void fillNews(const Known&, protocol::FleetNews&) const;
+    void takeNews(const protocol::FleetNews&);
+    template <typename Message>
+    void takeHosts(const Message&);
+    template <typename Message>
+    void fillHosts(Message&) const;
+    bool isStale() const;
+
+    FleetExchangeParts m_parts;
+    GatewayCalls* m_calls = nullptr;
+    MonotonicTime m_startedAt;
+    std::map<Endpoint, Known> m_known;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
@@ -0,0 +1,22 @@
+#pragma once
+
+namespace lacewingsail {
+
+class AccountTokens;
+class FleetDirectory;
+class FleetExchange;
+class GatewayCalls;
+class UseBook;
+
+namespace protocol {
+
+    class ExchangeReply;
+    class ExchangeRequest;
+    class FleetNews;
+    class GatewayHost;
+    class ServerNews;
+    class UseOfZone;
+
+} // namespace protocol
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -0,0 +1,115 @@
+#include <lacewingsail/Exchange.h>
+
+#include "ExchangeMessages.h"
+
+#include <lacewingsail/Peers.h>
+
+#include <grpcpp/grpcpp.h>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // Many times a round trip between zones (2 ms) and a few times what a host slowed five times needs to answer.
+    constexpr std::chrono::milliseconds exchangeTimeout { 400 };
+    // A caller waits for it; the second host is asked afterwards.
+    constexpr std::chrono::milliseconds tokenTimeout { 150 };
+
+    /// \brief One call under way; lives until its answer.
+    template <typename Request, typename Reply>
+    struct Call {
+        grpc::ClientContext context;
+        std::shared_ptr<grpc::Channel> channel;
+        std::unique_ptr<Request> request;
+        Reply reply;
+    };
+
+    /// \brief Answers calls on the event loop's thread.
+    class GatewayService final : public protocol::Gateways::CallbackService {
+    public:
+        GatewayService(EventLoop& loop, GatewayCalls::Handlers handlers)
+            : m_loop(loop)
+            , m_handlers(std::move(handlers))
+        {
+        }
+
+        // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
+        grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context, const protocol::ExchangeRequest* request, protocol::ExchangeReply* reply) override
+        {
+            auto* reactor = context->DefaultReactor();
+            m_loop.post([this, request, reply, reactor] {
+                m_handlers.exchange(*request, *reply);
+                reactor->Finish(grpc::Status::OK);
+            });
+            return reactor;
+        }
+
+        // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
+        grpc::ServerUnaryReactor* TakeTokens(grpc::CallbackServerContext* context, const protocol::TokenRequest* request, protocol::TokenReply* reply) override
+        {
+            auto* reactor = context->DefaultReactor();
+            m_loop.post([this, request, reply, reactor] {
+                const auto result = m_handlers.tokens({ ClientAccountId(request->account()), static_cast<int>(request->wanted()) });
+                reply->set_unknown(!result);
+                if (result) {
+                    reply->set_granted(static_cast<std::uint32_t>(result->granted));
+                    reply->set_retry_after_ms(static_cast<std::uint32_t>(result->retryAfter.count()));
+                }
+                reactor->Finish(grpc::Status::OK);
+            });
+            return reactor;
+        }
+
+    private:
+        EventLoop& m_loop;
+        GatewayCalls::Handlers m_handlers;
+    };
+
+} // namespace internal
+
+struct GatewayCalls::Implementation {
+    EventLoop& loop;
+    internal::GatewayService service;
+    PeerChannels channels;
+    std::unique_ptr<PeerServer> server;
+};
+
+GatewayCalls::GatewayCalls(EventLoop& loop, const Endpoint& listen, Handlers handlers, std::error_code& error)
+    : m_implementation(new Implementation { loop, { loop, std::move(handlers) }, {}, nullptr })
+{
+    m_implementation->server = std::make_unique<PeerServer>(listen, std::vector<grpc::Service*> { &m_implementation->service }, error);
+}
+
+GatewayCalls::~GatewayCalls() = default;
+
+void GatewayCalls::exchange(const Endpoint& endpoint, std::unique_ptr<protocol::ExchangeRequest> request, ExchangeAnswer answer)
+{
+    auto call = std::make_shared<internal::Call<protocol::ExchangeRequest, protocol::ExchangeReply>>();
+    call->channel = m_implementation->channels.to(endpoint);
+    call->request = std::move(request);
+    call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
+    protocol::Gateways::Stub stub(call->channel);
+    stub.async()->Exchange(&call->context, call->request.get(), &call->reply, [this, call, answer = std::move(answer)](const grpc::Status& status) {
+        m_implementation->loop.post([call, answer, ok = status.ok()] { answer(ok ? &call->reply : nullptr); });
+    });
+}
+
+void GatewayCalls::takeTokens(const Endpoint& endpoint, const TokenDemand& demand, TokenAnswer answer)
+{
+    auto call = std::make_shared<internal::Call<protocol::TokenRequest, protocol::TokenReply>>();
+    call->channel = m_implementation->channels.to(endpoint);
+    call->request = std::make_unique<protocol::TokenRequest>();
+    call->request->set_account(demand.account.value());
+    call->request->set_wanted(static_cast<std::uint32_t>(demand.wanted));
+    call->context.set_deadline(std::chrono::system_clock::now() + internal::tokenTimeout);
+    protocol::Gateways::Stub stub(call->channel);
+    stub.async()->TakeTokens(&call->context, call->request.get(), &call->reply, [this, call, answer = std::move(answer)](const grpc::Status& status) {
+        m_implementation->loop.post([call, answer, ok = status.ok()] {
+            if (!ok || call->reply.unknown())
+                return answer(std::nullopt);
+            answer(DrawResult { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) });
+        });
+    });
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "ForwardDeclarations.h"
+
+#include <lacewingsail/World.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <system_error>
+
+namespace lacewingsail {
+
+/// \brief A host's request for tokens of a client account.
+struct TokenDemand {
+    ClientAccountId account;
+    int wanted = 1;
+};
+
+/// \brief The calls between gateway hosts, over gRPC. All callbacks come on the thread of the event loop.
+class GatewayCalls {
+public:
+    using ExchangeAnswer = std::function<void(const protocol::ExchangeReply*)>;
+    using TokenAnswer = std::function<void(std::optional<DrawResult>)>;
+
+    /// \brief How this host answers the others.
+    struct Handlers {
+        std::function<void(const protocol::ExchangeRequest&, protocol::ExchangeReply&)> exchange;
+        /// Nothing if the account is not known here.
+        std::function<std::optional<DrawResult>(const TokenDemand&)> tokens;
+    };
+
+    /// \param error set if this host cannot listen for calls.
+    GatewayCalls(EventLoop&, const Endpoint& listen, Handlers, std::error_code& error);
+    ~GatewayCalls();
+    GatewayCalls(const GatewayCalls&) = delete;
+    GatewayCalls& operator=(const GatewayCalls&) = delete;
+
+    /// \brief Calls another host. The answer is null if it did not come in time.
+    void exchange(const Endpoint&, std::unique_ptr<protocol::ExchangeRequest>, ExchangeAnswer);
+
+    /// \brief Draws tokens from another host. The answer is empty if it did not come in time or the account is unknown there.
+    void takeTokens(const Endpoint&, const TokenDemand&, TokenAnswer);
+
+private:
+    struct Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -0,0 +1,83 @@
+#include "AsioHttpCalls.h"
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    // The largest answer of a control service: a whole configuration with room to grow.
+    constexpr std::uint64_t largestResponse = 64 * 1024 * 1024;
+
+    using ResponseParser = http::response_parser<http::string_body>;
+
+    http::request<http::string_body> messageFor(const HttpRequest& request, const Endpoint& endpoint)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, text(endpoint));
+        for (const HttpField& field : request.fields)
+            message.set(field.name, field.value);
+        message.body() = request.body;
+        message.prepare_payload();
+        return message;
+    }
+
+    HttpResponse responseFrom(ResponseParser& parser)
+    {
+        HttpResponse response;
+        response.status = static_cast<int>(parser.get().result_int());
+        for (const auto& field : parser.get())
+            response.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        response.body = std::move(parser.get().body());
+        return response;
+    }
+
+} // namespace
+
+AsioHttpCalls::AsioHttpCalls(net::io_context& context, Endpoint endpoint)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+{
+}
+
+void AsioHttpCalls::call(std::size_t lane, HttpRequest request, std::chrono::milliseconds timeout, Answer answer)
+{
+    net::co_spawn(m_context, run(lane, std::move(request), timeout, std::move(answer)), net::detached);
+}
+
+net::awaitable<void> AsioHttpCalls::run(std::size_t lane, HttpRequest request, std::chrono::milliseconds timeout, Answer answer)
+{
+    std::shared_ptr<Connection>& kept = m_lanes[lane];
+    boost::system::error_code error;
+    if (!kept || kept->busy || !kept->stream.socket().is_open()) {
+        kept = std::make_shared<Connection>(m_context);
+        kept->busy = true;
+        const std::shared_ptr<Connection> opened = kept;
+        opened->stream.expires_after(timeout);
+        co_await opened->stream.async_connect(net::ip::tcp::endpoint(net::ip::make_address(m_endpoint.address), m_endpoint.port), net::redirect_error(net::use_awaitable, error));
+        opened->busy = false;
+        if (!error)
+            opened->stream.socket().set_option(net::ip::tcp::no_delay(true), error);
+    }
+    const std::shared_ptr<Connection> connection = kept;
+    connection->busy = true;
+    connection->stream.expires_after(timeout);
+    const auto message = messageFor(request, m_endpoint);
+    ResponseParser parser;
+    parser.body_limit(largestResponse);
+    if (!error)
+        co_await http::async_write(connection->stream, message, net::redirect_error(net::use_awaitable, error));
+    if (!error)
+        co_await http::async_read(connection->stream, connection->buffer, parser, net::redirect_error(net::use_awaitable, error));
+    connection->busy = false;
+    connection->stream.expires_never();
+    if (error || !parser.keep_alive())
+        connection->stream.close();
+    if (error)
+        answer(error, {});
+    else
+        answer({}, responseFrom(parser));
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Asio.h"
+
+#include <lacewingsail/Exchange.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lacewingsail::internal {
+
+/// \brief An open connection to a backend server.
+struct UpstreamConnection {
+    explicit UpstreamConnection(net::io_context& context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    MonotonicTime idleSince {};
+    /// Until when the server keeps it open while idle.
+    MonotonicTime openUntil {};
+};
+
+using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+/// \brief A backend server as this host sees it.
+struct BackendState {
+    RegisteredServer server;
+    MonotonicTime warmUntil {};
+    /// Whether it may get new work: registered and not leaving.
+    bool inUse = true;
+    /// This host's own requests; its counts fade.
+    ServerUse own;
+    MonotonicTime fadedAt {};
+    /// Requests of all other hosts, as of the last exchange.
+    ServerUse others;
+    /// Not tried until then, since connections or answers failed on the way from this host.
+    MonotonicTime avoidUntil {};
+    int failuresInRow = 0;
+    /// It said that it is full, or that it is another server.
+    MonotonicTime fullUntil {};
+    std::deque<UpstreamConnectionPtr> idle;
+
+    /// \returns the use by all hosts.
+    ServerUse total() const { return own + others; }
+};
+
+using BackendStatePtr = std::shared_ptr<BackendState>;
+
+/// \brief All backend servers, by service.
+class BackendTable {
+public:
+    explicit BackendTable(const Clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    /// \brief Takes over the registry. Servers keep their state while they are the same incarnation.
+    void update(const ServerRegistry&);
+
+    /// \brief Takes over what the other hosts have with the servers.
+    void takeOthers(const UseOfServers&);
+
+    /// \returns the servers of a service that may get new work, those that warm up included.
+    const std::vector<BackendStatePtr>& of(const ServiceId&) const;
+
+    /// \returns this host's own use, faded until now. Allocates.
+    UseOfServers ownUse();
+
+    /// \returns the smoothed time to answer of a service's servers, over all hosts; zero if not known.
+    std::chrono::milliseconds usualAnswer(const ServiceId&) const;
+
+    /// \brief Lets the own counts of one server fade until now.
+    void fadeOwn(BackendState&) const;
+
+    /// \brief Closes connections that have been idle for long.
+    void closeIdle();
+
+private:
+    const Clock& m_clock;
+    std::map<BackendServerId, BackendStatePtr> m_servers;
+    std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
+};
+
+/// \brief Takes a kept connection that is quiet and was used less than \p mostIdle ago. \returns null if there is none.
+UpstreamConnectionPtr takeIdle(BackendState&, MonotonicTime now, Duration mostIdle);
+
+/// \brief Keeps a connection whose last answer was complete.
+void putIdle(BackendState&, UpstreamConnectionPtr, MonotonicTime now, Duration keepAlive);
+
+/// \brief Notes that the way to a server failed, so that this host avoids it for a while, longer each time.
+void noteUnreachable(BackendState&, MonotonicTime now);
+void noteReachable(BackendState&);
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -0,0 +1,304 @@
+#include "CallerConnection.h"
+
+#include "HopHeaders.h"
+
+#include <lacewingsail/Http.h>
+
+#include <algorithm>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::size_t pieceBytes = 8 * 1024;
+    // Requests of one connection that are worked on side by side.
+    constexpr std::size_t mostPending = 16;
+    // After its last answer a connection is read on this long, so that closing does not reset it and lose the answer.
+    constexpr std::chrono::milliseconds lingerTime { 700 };
+    constexpr std::chrono::seconds bodyTimeout { 20 };
+    // Callers reuse a connection up to four fifths of the configured idle time; a slow host gets more.
+    constexpr std::chrono::seconds idleMargin { 1 };
+    constexpr unsigned unacknowledgedMilliseconds = 5000;
+
+    using RequestParser = http::request_parser<http::string_body>;
+
+    ResultCode codeOf(const boost::system::error_code& error)
+    {
+        if (error == http::error::header_limit)
+            return ResultCode::HeaderTooLarge;
+        if (error == http::error::body_limit)
+            return ResultCode::BodyTooLarge;
+        return ResultCode::MalformedRequest;
+    }
+
+    bool isConnectionEnd(const boost::system::error_code& error)
+    {
+        return error == http::error::end_of_stream || error == http::error::partial_message || error.category() == net::error::get_system_category() || error.category() == net::error::get_misc_category();
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(RequestServices& services, CallerConnections& connections, net::ip::tcp::socket socket)
+    : m_services(services)
+    , m_connections(connections)
+    , m_socket(std::move(socket))
+    , m_timer(services.context)
+    , m_room(services.context)
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(net::ip::tcp::no_delay(true), ignored);
+    setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof unacknowledgedMilliseconds);
+}
+
+CallerLimits CallerConnection::limits() const
+{
+    const auto& inForce = m_services.active.inForce();
+    return inForce ? inForce->published.limits : CallerLimits {};
+}
+
+Duration CallerConnection::idleTimeout() const
+{
+    const Duration longest = m_services.active.longestIdleTimeout();
+    return (longest > Duration::zero() ? longest : Duration(limits().idleTimeout)) + idleMargin;
+}
+
+void CallerConnection::start()
+{
+    m_connections.open.insert(shared_from_this());
+    net::co_spawn(
+        m_services.context, [self = shared_from_this()]() -> net::awaitable<void> { co_await self->read(); }, [self = shared_from_this()](const std::exception_ptr& failure) {
+        if (failure)
+            log(Event("caller-connection-failed"));
+        self->finish(); });
+}
+
+void CallerConnection::armTimer(Duration timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this(), timeout](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || !self)
+            return;
+        // A connection whose answers are still due is not idle.
+        if (!self->m_pending.empty() && !self->m_receiving && !self->m_closing)
+            return self->armTimer(timeout);
+        self->m_timedOut = true;
+        boost::system::error_code ignored;
+        self->m_socket.shutdown(net::socket_base::shutdown_receive, ignored);
+        self->m_socket.cancel(ignored);
+    });
+}
+
+net::awaitable<bool> CallerConnection::waitForBytes()
+{
+    while (m_pending.size() >= mostPending && !m_closing) {
+        m_room.expires_at(net::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        co_await m_room.async_wait(net::redirect_error(net::use_awaitable, ignored));
+    }
+    if (m_buffer.size() > 0 && !m_closing)
+        co_return true;
+    armTimer(m_closing ? Duration(lingerTime) : idleTimeout());
+    boost::system::error_code error;
+    const std::size_t read = co_await m_socket.async_read_some(m_buffer.prepare(pieceBytes), net::redirect_error(net::use_awaitable, error));
+    m_timer.cancel();
+    if (error) {
+        // An idle connection that times out while answers are due is not the caller's leaving.
+        if (!m_timedOut || m_pending.empty())
+            callerLeft();
+        co_return false;
+    }
+    if (!m_closing)
+        m_buffer.commit(read);
+    co_return true;
+}
+
+net::awaitable<void> CallerConnection::read()
+{
+    while (co_await waitForBytes()) {
+        // What comes after a closing answer is read, so that the answer is not lost to a reset, but not taken.
+        if (m_closing)
+            continue;
+        m_receiving = true;
+        const bool whole = co_await readOne();
+        m_receiving = false;
+        if (!whole && !m_closing)
+            break;
+    }
+}
+
+net::awaitable<bool> CallerConnection::readOne()
+{
+    const CallerLimits bounds = limits();
+    armTimer(bounds.requestTimeout);
+    boost::system::error_code error;
+    for (;;) {
+        const std::string_view bytes(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
+        const std::size_t size = rawHeaderSize(bytes);
+        const bool tooLarge = (size == std::string_view::npos ? bytes.size() : size) > bounds.headerBytes;
+        const ResultCode code = tooLarge ? ResultCode::HeaderTooLarge : size == std::string_view::npos ? ResultCode::Ok
+                                                                                                       : checkRawHeader(bytes.substr(0, size));
+        if (code != ResultCode::Ok) {
+            refuse(code);
+            co_return false;
+        }
+        if (size != std::string_view::npos)
+            break;
+        m_buffer.commit(co_await m_socket.async_read_some(m_buffer.prepare(pieceBytes), net::redirect_error(net::use_awaitable, error)));
+        if (error) {
+            callerLeft();
+            co_return false;
+        }
+    }
+    RequestParser parser;
+    parser.header_limit(static_cast<std::uint32_t>(bounds.headerBytes) + 1);
+    parser.body_limit(bounds.bodyBytes);
+    co_await http::async_read_header(m_socket, m_buffer, parser, net::redirect_error(net::use_awaitable, error));
+    const bool proper = !error && parser.get().version() == 11 && framesBodyClearly(parser.get()) && parser.get().count(http::field::host) == 1 && parser.get().count(http::field::authorization) <= 1 && parser.get().target().starts_with('/');
+    if (!error && !proper)
+        error = http::error::bad_field;
+    if (!error && parser.get().count(http::field::expect) != 0) {
+        static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await net::async_write(m_socket, net::buffer(proceed), net::redirect_error(net::use_awaitable, error));
+    }
+    if (!error && !parser.is_done()) {
+        armTimer(bodyTimeout);
+        co_await http::async_read(m_socket, m_buffer, parser, net::redirect_error(net::use_awaitable, error));
+    }
+    m_timer.cancel();
+    if (error && isConnectionEnd(error)) {
+        callerLeft();
+        co_return false;
+    }
+    if (error) {
+        refuse(codeOf(error));
+        co_return false;
+    }
+    accept(parser.release());
+    co_return true;
+}
+
+void CallerConnection::accept(RequestMessage message)
+{
+    auto pending = std::make_shared<Pending>();
+    pending->request = std::make_shared<RequestState>();
+    pending->closes = !message.keep_alive();
+    const auto id = message[m_services.names.requestId];
+    pending->request->id.assign(id.data(), id.size());
+    pending->request->message = std::move(message);
+    pending->request->arrivedAt = m_services.clock.now();
+    m_closing = m_closing || pending->closes;
+    m_pending.push_back(pending);
+    net::co_spawn(
+        m_services.context, [self = shared_from_this(), pending]() -> net::awaitable<void> { co_await self->work(pending); }, [self = shared_from_this(), pending](const std::exception_ptr& failure) {
+        if (!failure)
+            return;
+        log(Event("request-failed").with("request", pending->request->id));
+        pending->answer = ownAnswer(self->m_services.names, ResultCode::UpstreamBroken, pending->request->id);
+        self->flush(); });
+}
+
+net::awaitable<void> CallerConnection::work(PendingPtr pending)
+{
+    RequestEnd end = co_await serveRequest(m_services, pending->request);
+    m_services.metrics.counter("requests_total", "result", entryOf(end.code).name).fetch_add(1, std::memory_order_relaxed);
+    const std::string_view account = pending->request->account ? std::string_view(pending->request->account->id.value()) : "(none)";
+    m_services.metrics.latency("request_seconds", "account", account).fill(std::chrono::duration_cast<std::chrono::microseconds>(m_services.clock.now() - pending->request->arrivedAt));
+    pending->answer = std::move(end.answer);
+    flush();
+}
+
+void CallerConnection::refuse(ResultCode code)
+{
+    auto pending = std::make_shared<Pending>();
+    pending->request = std::make_shared<RequestState>();
+    pending->answer = ownAnswer(m_services.names, code, {});
+    pending->closes = true;
+    m_closing = true;
+    log(Event("request-refused-unread").with("code", code));
+    m_pending.push_back(std::move(pending));
+    flush();
+}
+
+void CallerConnection::flush()
+{
+    if (m_writing || m_pending.empty() || !m_pending.front()->answer)
+        return;
+    const PendingPtr pending = m_pending.front();
+    // On a planned stop the last answer of a connection ends it; what is still being read gets its answer first.
+    const bool last = m_pending.size() == 1 && !m_receiving && m_buffer.size() == 0;
+    if (m_connections.draining && last)
+        pending->closes = true;
+    auto answer = std::make_shared<AnswerMessage>(std::move(*pending->answer));
+    eraseHopFields(*answer);
+    answer->version(11);
+    answer->keep_alive(!pending->closes);
+    if (pending->closes)
+        m_closing = true;
+    const bool bodiless = pending->request->message.method() == http::verb::head;
+    if (!bodiless)
+        answer->prepare_payload();
+    m_writing = true;
+    const bool closes = pending->closes;
+    if (bodiless) {
+        auto serializer = std::make_shared<http::response_serializer<http::string_body>>(*answer);
+        http::async_write_header(m_socket, *serializer, [self = shared_from_this(), answer, serializer, closes](const boost::system::error_code& error, std::size_t) { self->written(closes, error); });
+        return;
+    }
+    http::async_write(m_socket, *answer, [self = shared_from_this(), answer, closes](const boost::system::error_code& error, std::size_t) { self->written(closes, error == http::error::end_of_stream ? boost::system::error_code {} : error); });
+}
+
+void CallerConnection::written(bool closes, const boost::system::error_code& error)
+{
+    m_writing = false;
+    if (!m_pending.empty())
+        m_pending.pop_front();
+    if (error) {
+        callerLeft();
+        m_socket.close();
+        return;
+    }
+    if (closes) {
+        // Requests that were sent behind a closing answer count as not read.
+        callerLeft();
+        m_pending.clear();
+        boost::system::error_code ignored;
+        m_socket.shutdown(net::socket_base::shutdown_send, ignored);
+        armTimer(lingerTime);
+        return;
+    }
+    m_room.cancel();
+    flush();
+}
+
+void CallerConnection::callerLeft()
+{
+    m_closing = true;
+    for (const PendingPtr& pending : m_pending) {
+        RequestState& request = *pending->request;
+        // A request that may not be repeated goes on: its effect is wanted even if its caller does not see it.
+        if (pending->answer || !request.route || !request.route->repeatable)
+            continue;
+        request.callerGone = true;
+        if (request.cancelAttempt)
+            request.cancelAttempt();
+    }
+}
+
+void CallerConnection::closeWhenIdle()
+{
+    if (!isIdle() || m_closing)
+        return;
+    m_closing = true;
+    boost::system::error_code ignored;
+    m_socket.shutdown(net::socket_base::shutdown_send, ignored);
+    armTimer(lingerTime);
+}
+
+void CallerConnection::finish()
+{
+    m_timer.cancel();
+    m_connections.open.erase(shared_from_this());
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/ForwardDeclarations.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace lacewingsail {
+
+class GatewayHost;
+struct GatewayParts;
+struct HeaderNames;
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -0,0 +1,266 @@
+#include <lacewingsail/Gateway.h>
+
+#include "AsioHttpCalls.h"
+#include "AsioLoop.h"
+#include "CallerConnection.h"
+
+#include <lacewingsail/Observe.h>
+
+#include <csignal>
+#include <unistd.h>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    constexpr std::size_t mostMetricSeries = 256;
+    constexpr std::chrono::milliseconds housekeepingInterval { 500 };
+    constexpr std::chrono::milliseconds acceptPause { 20 };
+    // The balancer asks each second and takes a host out after two misses; connections that it still brings are served.
+    constexpr std::chrono::milliseconds balancerNotices { 2300 };
+    // Kept of the stop's grace period for the end of the process itself.
+    constexpr std::chrono::milliseconds stopMargin { 350 };
+    constexpr std::chrono::milliseconds drainCheckInterval { 100 };
+    // A fleet that starts at once has registered all hosts by then.
+    constexpr std::chrono::milliseconds secondHostReading { 1500 };
+    constexpr std::chrono::milliseconds hostReadingRetry { 1000 };
+
+} // namespace internal
+
+struct GatewayHost::Implementation {
+    Implementation(GatewaySettings hostSettings, GatewayParts gatewayParts)
+        : settings(std::move(hostSettings))
+        , parts(std::move(gatewayParts))
+    {
+    }
+
+    GatewaySettings settings;
+    GatewayParts parts;
+    SystemClock clock;
+    internal::AsioLoop loop;
+    LineLog lines { STDOUT_FILENO, clock };
+    Metrics metrics { internal::mostMetricSeries };
+    std::atomic<bool> ready { false };
+    std::mt19937_64 random { std::random_device {}() };
+    ActiveConfiguration active { parts.decodeConfiguration };
+    ServerRegistry registry;
+    internal::BackendTable backends { clock };
+    internal::AsioHttpCalls storeCalls { loop.context(), settings.store };
+    std::unique_ptr<RecordLog> store = parts.makeStore(storeCalls);
+    StoreFollower follower { *store, active, registry, parts.decodeServer, clock, [this] { stateChanged(); } };
+    FleetDirectory directory { LiveHost { settings.id, settings.zone, settings.peers } };
+    UseBook uses { settings.id, settings.zone };
+    AccountTokens tokens { directory, active, clock };
+    FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, uses, settings.seeds, [this] { return backends.ownUse(); }, [this] { stateChanged(); } } };
+    std::map<ServiceId, RetryAllowance> retries;
+    internal::RequestServices services { settings, parts.names, clock, loop.context(), active, follower, directory, tokens, backends, metrics, retries, random };
+    internal::CallerConnections connections;
+    net::ip::tcp::acceptor acceptor { loop.context() };
+    net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
+    std::unique_ptr<GatewayCalls> calls;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> operators;
+    MonotonicTime drainBegunAt {};
+
+    std::error_code listen();
+    net::awaitable<void> accept();
+    void stateChanged();
+    void followStore();
+    void exchangeNews();
+    void keepHouse();
+    void announceHost();
+    void readHosts();
+    void awaitSignal();
+    void reload();
+    void drain();
+    void checkDrained();
+    HttpResponse answerOperator(const HttpRequest&) const;
+};
+
+std::error_code GatewayHost::Implementation::listen()
+{
+    std::error_code error;
+    GatewayCalls::Handlers handlers;
+    handlers.exchange = [this](const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply) { exchange.answer(request, reply); };
+    handlers.tokens = [this](const TokenDemand& demand) { return tokens.give(demand); };
+    calls = std::make_unique<GatewayCalls>(loop, settings.peers, std::move(handlers), error);
+    if (error)
+        return error;
+    exchange.connect(*calls);
+    tokens.connect(*calls);
+    readiness = std::make_unique<HttpServer>(
+        settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error);
+    if (error)
+        return error;
+    operators = std::make_unique<HttpServer>(
+        settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error);
+    if (error)
+        return error;
+    boost::system::error_code failed;
+    const net::ip::tcp::endpoint endpoint(net::ip::make_address(settings.callers.address, failed), settings.callers.port);
+    acceptor.open(endpoint.protocol(), failed);
+    if (!failed)
+        acceptor.set_option(net::socket_base::reuse_address(true), failed);
+    if (!failed)
+        acceptor.bind(endpoint, failed);
+    if (!failed)
+        acceptor.listen(net::socket_base::max_listen_connections, failed);
+    return failed;
+}
+
+HttpResponse GatewayHost::Implementation::answerOperator(const HttpRequest& request) const
+{
+    if (pathOf(request.target) == "/metrics")
+        return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics.prometheusText() };
+    return { 404, {}, "unknown path\n" };
+}
+
+net::awaitable<void> GatewayHost::Implementation::accept()
+{
+    for (;;) {
+        boost::system::error_code error;
+        auto socket = co_await acceptor.async_accept(net::redirect_error(net::use_awaitable, error));
+        if (error == net::error::operation_aborted)
+            co_return;
+        if (error) {
+            log(Event("accept-failed").with("reason", error.message()));
+            net::steady_timer pause(loop.context(), internal::acceptPause);
+            co_await pause.async_wait(net::use_awaitable);
+            continue;
+        }
+        std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
+    }
+}
+
+void GatewayHost::Implementation::stateChanged()
+{
+    backends.update(registry);
+    const bool knowsServers = follower.serversAsOf() != MonotonicTime {} || !registry.entries().empty();
+    ready = active.inForce() && knowsServers && !connections.draining;
+}
+
+void GatewayHost::Implementation::followStore()
+{
+    follower.tick(exchange.isRelay() ? ReadingDuty::Reader : ReadingDuty::Listener);
+    loop.after(StoreFollower::tickInterval, [this] { followStore(); });
+}
+
+void GatewayHost::Implementation::exchangeNews()
+{
+    exchange.tick();
+    backends.takeOthers(uses.others(clock.now()));
+    loop.after(FleetExchange::interval, [this] { exchangeNews(); });
+}
+
+void GatewayHost::Implementation::keepHouse()
+{
+    backends.closeIdle();
+    lines.flush();
+    if (!ready && !connections.draining)
+        stateChanged();
+    loop.after(internal::housekeepingInterval, [this] { keepHouse(); });
+}
+
+void GatewayHost::Implementation::announceHost()
+{
+    store->append(RecordStream::Hosts, settings.id.value(), parts.encodeHost(directory.self()), [this](ResultCode code) {
+        if (code == ResultCode::Ok)
+            return readHosts();
+        log(Event("host-not-announced").with("reason", code));
+        loop.after(internal::hostReadingRetry, [this] { announceHost(); });
+    });
+}
+
+void GatewayHost::Implementation::readHosts()
+{
+    store->newest(RecordStream::Hosts, [this](const LogReading& reading) {
+        for (const KeyedRecord& record : reading.records) {
+            const auto host = record.value ? parts.decodeHost(HostId(record.key), *record.value) : std::nullopt;
+            // Whether it still lives shows with the first exchange.
+            if (host && !directory.entries().contains(host->id))
+                directory.heard(*host, clock.now(), false);
+        }
+    });
+}
+
+void GatewayHost::Implementation::awaitSignal()
+{
+    signals.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload();
+        else if (!connections.draining)
+            drain();
+        awaitSignal();
+    });
+}
+
+void GatewayHost::Implementation::reload()
+{
+    const auto fresh = parts.reloadSettings();
+    if (!fresh) {
+        log(Event("settings-not-reloaded"));
+        return;
+    }
+    GatewaySettings unchanged = *fresh;
+    unchanged.bounds = settings.bounds;
+    log(Event("settings-reloaded").with("bounds_changed", fresh->bounds == settings.bounds ? "no" : "yes").with("restart_needed", unchanged == settings ? "no" : "yes"));
+    settings.bounds = fresh->bounds;
+}
+
+void GatewayHost::Implementation::drain()
+{
+    log(Event("host-draining").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
+    connections.draining = true;
+    ready = false;
+    drainBegunAt = clock.now();
+    directory.leave();
+    exchange.tick();
+    checkDrained();
+}
+
+void GatewayHost::Implementation::checkDrained()
+{
+    const Duration elapsed = clock.now() - drainBegunAt;
+    if (elapsed >= internal::balancerNotices) {
+        const auto open = connections.open;
+        for (const auto& connection : open)
+            connection->closeWhenIdle();
+    }
+    const bool empty = elapsed >= internal::balancerNotices && connections.open.empty();
+    if (empty || elapsed >= settings.bounds.stopGrace - internal::stopMargin) {
+        log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
+        return loop.context().stop();
+    }
+    loop.after(internal::drainCheckInterval, [this] { checkDrained(); });
+}
+
+GatewayHost::GatewayHost(GatewaySettings settings, GatewayParts parts)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings), std::move(parts)))
+{
+}
+
+GatewayHost::~GatewayHost() = default;
+
+std::error_code GatewayHost::run()
+{
+    Implementation& host = *m_implementation;
+    redirectLog([&host](std::string_view line) { host.lines.write(line); });
+    if (const std::error_code error = host.listen())
+        return error;
+    log(Event("host-started").with("host", host.settings.id).with("zone", host.settings.zone));
+    host.awaitSignal();
+    net::co_spawn(host.loop.context(), host.accept(), net::detached);
+    host.announceHost();
+    host.loop.after(internal::secondHostReading, [&host] { host.readHosts(); });
+    host.followStore();
+    host.exchangeNews();
+    host.keepHouse();
+    host.loop.context().run();
+    host.lines.flush();
+    redirectLog(nullptr);
+    return {};
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/HopHeaders.cpp
@@ -0,0 +1,33 @@
+#include "HopHeaders.h"
+
+#include <array>
+#include <string>
+#include <vector>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::array hopFields { "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade" };
+
+} // namespace
+
+void eraseHopFields(http::fields& fields)
+{
+    std::vector<std::string> named;
+    for (const auto& token : http::token_list(fields[http::field::connection]))
+        named.emplace_back(token);
+    for (const std::string& name : named)
+        fields.erase(name);
+    for (const char* name : hopFields)
+        fields.erase(name);
+}
+
+bool framesBodyClearly(const http::request_header<>& header)
+{
+    const std::size_t lengths = header.count(http::field::content_length);
+    const std::size_t encodings = header.count(http::field::transfer_encoding);
+    return lengths + encodings <= 1 && (encodings == 0 || beast::iequals(header[http::field::transfer_encoding], "chunked"));
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -0,0 +1,255 @@
+#include "RequestState.h"
+
+#include "Upstream.h"
+
+#include <lacewingsail/Wire.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    // A caller that comes back sooner finds the same state: the hosts' sight of the servers is this old.
+    constexpr std::chrono::milliseconds shortestReturn { 250 };
+    // Returns are spread over this much more, so that callers who were refused together do not come back together.
+    constexpr std::chrono::milliseconds returnSpread { 500 };
+    constexpr std::chrono::milliseconds returnWithoutConfiguration { 500 };
+    // Knowledge of the configuration that is older than this cannot prove that a route or a key does not exist.
+    constexpr std::chrono::seconds provenAbsence { 3 };
+    // Connections that one request tries to open at most.
+    constexpr int mostConnections = 4;
+    // Part of the time left after which an attempt of a request that may be repeated is given up for another server.
+    constexpr double patience = 0.55;
+    // A stall is not assumed before this many times the usual time to answer.
+    constexpr int usualAnswers = 3;
+    constexpr std::chrono::milliseconds leastPatience { 400 };
+    // Requests for each slot, queued ones included, up to which a server gets more: with the users' work times a queue of
+    // this length is worked off within the latency objective.
+    constexpr double mostFillUrgent = 2.2;
+    constexpr double mostFillOther = 1.8;
+    constexpr Priority urgent { 1 };
+
+    std::chrono::milliseconds sometime(RequestServices& services, std::chrono::milliseconds least)
+    {
+        std::uniform_int_distribution<std::int64_t> spread(0, returnSpread.count());
+        return least + std::chrono::milliseconds(spread(services.random));
+    }
+
+    RequestEnd refuse(RequestServices& services, const RequestState& request, ResultCode code, std::chrono::milliseconds retryAfter = {})
+    {
+        const auto heldMs = std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - request.arrivedAt).count();
+        Event event("request-ended");
+        event.with("request", request.id).with("code", code).with("held_ms", heldMs).with("attempts", static_cast<long long>(request.sentTo.size()));
+        event.with("configuration", static_cast<long long>(number(services.active.version())));
+        if (request.route)
+            event.with("route", request.route->id).with("service", request.service);
+        if (request.account)
+            event.with("account", request.account->id);
+        log(event);
+        return { code, ownAnswer(services.names, code, request.id, retryAfter) };
+    }
+
+    // A host that has not heard of the configuration for a while cannot know that something is missing from it.
+    RequestEnd refuseAbsent(RequestServices& services, const RequestState& request, ResultCode code)
+    {
+        if (services.clock.now() - services.follower.configurationAsOf() >= provenAbsence)
+            return refuse(services, request, ResultCode::NoConfiguration, sometime(services, returnWithoutConfiguration));
+        return refuse(services, request, code);
+    }
+
+    std::string_view presentedSecret(const HeaderNames& names, const RequestMessage& message)
+    {
+        const auto field = message[http::field::authorization];
+        std::string_view value(field.data(), field.size());
+        if (value.size() <= names.keyScheme.size() || !beast::iequals(value.substr(0, names.keyScheme.size()), names.keyScheme) || value[names.keyScheme.size()] != ' ')
+            return {};
+        value.remove_prefix(names.keyScheme.size() + 1);
+        return value;
+    }
+
+    ResultCode findAccount(const RequestServices& services, RequestState& request)
+    {
+        const std::string_view secret = presentedSecret(services.names, request.message);
+        const auto& accounts = request.configuration->published.configuration.accounts;
+        if (accounts.empty())
+            return ResultCode::Ok;
+        static const WithdrawnKeys none;
+        const Identification found = identify(request.configuration->keys, none, secret.empty() ? std::string() : sha256(secret));
+        if (found.code == ResultCode::Ok)
+            request.account = &accounts[static_cast<std::size_t>(found.account)];
+        return request.route->access == Access::Open ? ResultCode::Ok : found.code;
+    }
+
+    void setDeadline(const RequestServices& services, RequestState& request)
+    {
+        request.deadline = request.arrivedAt + request.route->deadline;
+        const auto field = request.message[services.names.deadline];
+        std::int64_t milliseconds = 0;
+        const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
+        if (!field.empty() && error == std::errc {} && milliseconds >= 0)
+            request.deadline = std::min(request.deadline, request.arrivedAt + std::chrono::milliseconds(milliseconds));
+    }
+
+    net::awaitable<DrawResult> takeToken(RequestServices& services, const ClientAccount& account)
+    {
+        const auto initiate = [&services, &account](auto handler) {
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            services.tokens.take(account, [&services, shared](DrawResult result) {
+                net::post(services.context, [shared, result]() mutable { std::move (*shared)(result); });
+            });
+        };
+        co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(DrawResult)>(initiate, net::use_awaitable);
+    }
+
+    ServerSight sightOf(const RequestServices& services, const RequestState& request, BackendState& state, std::chrono::milliseconds usual)
+    {
+        const MonotonicTime now = services.clock.now();
+        services.backends.fadeOwn(state);
+        const ServerUse use = state.total();
+        ServerSight sight;
+        sight.slots = state.server.slots;
+        sight.load = use.inFlight;
+        sight.outcomes = use.answered + use.failed;
+        sight.failedShare = sight.outcomes > 0 ? use.failed / sight.outcomes : 0;
+        if (use.answered >= 1 && usual.count() > 0)
+            sight.slowness = use.answerMilliseconds / use.answered / static_cast<double>(usual.count());
+        sight.sameZone = state.server.zone == services.settings.zone;
+        sight.warmingUp = now < state.warmUntil;
+        sight.unreachable = now < state.avoidUntil;
+        sight.full = now < state.fullUntil;
+        sight.tried = std::ranges::find(request.tried, state.server.id) != request.tried.end();
+        return sight;
+    }
+
+    PlacementTerms termsOf(const RequestServices& services, const RequestState& request)
+    {
+        const Priority priority = request.account && request.account->priority ? *request.account->priority : request.route->priority;
+        return { priority <= urgent ? mostFillUrgent : mostFillOther, services.settings.bounds.floorShare, request.route->repeatable };
+    }
+
+    BackendStatePtr choose(RequestServices& services, const RequestState& request)
+    {
+        const auto& states = services.backends.of(request.service);
+        const auto usual = services.backends.usualAnswer(request.service);
+        std::vector<ServerSight> sights;
+        sights.reserve(states.size());
+        for (const BackendStatePtr& state : states)
+            sights.push_back(sightOf(services, request, *state, usual));
+        std::uniform_real_distribution<double> uniform(0, 1);
+        const PlacementTerms terms = termsOf(services, request);
+        auto position = place(sights, terms, uniform(services.random));
+        if (!position) {
+            // Better an uncertain way than none.
+            for (ServerSight& sight : sights)
+                sight.unreachable = false;
+            position = place(sights, terms, uniform(services.random));
+        }
+        return position ? states[*position] : nullptr;
+    }
+
+    MonotonicTime attemptEnd(const RequestServices& services, const RequestState& request)
+    {
+        const MonotonicTime now = services.clock.now();
+        const int attemptsLeft = request.route->mostAttempts - static_cast<int>(request.sentTo.size());
+        if (!request.route->repeatable || attemptsLeft <= 1)
+            return request.deadline;
+        const auto share = std::chrono::duration_cast<Duration>((request.deadline - now) * patience);
+        const Duration usual = services.backends.usualAnswer(request.service) * usualAnswers;
+        return std::min(request.deadline, now + std::max({ share, usual, Duration(leastPatience) }));
+    }
+
+    bool isFinal(const RequestState& request, const AttemptReport& report)
+    {
+        if (report.end == AttemptEnd::Answered)
+            return !request.route->repeatable || report.answer.result_int() < 500;
+        return report.end == AttemptEnd::Unknown && !request.route->repeatable;
+    }
+
+    bool mayTryAgain(RequestServices& services, const RequestState& request, const RetryTerms& terms)
+    {
+        if (request.callerGone || services.clock.now() >= request.deadline)
+            return false;
+        if (request.sentTo.empty())
+            return true;
+        if (static_cast<int>(request.sentTo.size()) >= request.route->mostAttempts)
+            return false;
+        return take(services.retries[request.service], terms, services.clock.now());
+    }
+
+    // The last attempt that may have run decides what can still be promised.
+    RequestEnd endOf(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode last)
+    {
+        if (best && best->end == AttemptEnd::Answered)
+            return { ResultCode::Ok, std::move(best->answer) };
+        if (best)
+            return refuse(services, request, best->code);
+        if (last == ResultCode::ConnectFailed)
+            last = ResultCode::NoBackendServer;
+        return refuse(services, request, last, sometime(services, shortestReturn));
+    }
+
+    net::awaitable<RequestEnd> dispatch(RequestServices& services, std::shared_ptr<RequestState> request)
+    {
+        const RetryTerms terms = retryTerms(services.settings.bounds, services.directory.live(services.clock.now()).size());
+        earn(services.retries[request->service], terms, services.clock.now());
+        std::optional<AttemptReport> best;
+        ResultCode last = services.backends.of(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded;
+        for (int connections = 0; connections < mostConnections; ++connections) {
+            BackendStatePtr server = choose(services, *request);
+            if (!server || (connections > 0 && !mayTryAgain(services, *request, terms)))
+                break;
+            request->tried.push_back(server->server.id);
+            AttemptReport report = co_await attempt(services, request, server, attemptEnd(services, *request));
+            last = report.code;
+            const bool final = isFinal(*request, report);
+            // An answer of the server's own is better than none; "may have run" is never forgotten.
+            if (report.end == AttemptEnd::Answered || (report.end == AttemptEnd::Unknown && !best))
+                best = std::move(report);
+            if (final)
+                break;
+        }
+        co_return endOf(services, *request, std::move(best), last);
+    }
+
+} // namespace
+
+AnswerMessage ownAnswer(const HeaderNames& names, ResultCode code, const std::string& requestId, std::chrono::milliseconds retryAfter)
+{
+    const ResultCodeEntry& entry = entryOf(code);
+    AnswerMessage answer(static_cast<http::status>(entry.httpStatus), 11);
+    if (!requestId.empty())
+        answer.set(names.requestId, requestId);
+    if (retryAfter.count() > 0)
+        answer.set(http::field::retry_after, std::to_string(static_cast<double>(retryAfter.count()) / 1000));
+    answer.set(http::field::content_type, "text/plain");
+    answer.body() = std::string(entry.name) + '\n';
+    return answer;
+}
+
+net::awaitable<RequestEnd> serveRequest(RequestServices& services, std::shared_ptr<RequestState> request)
+{
+    request->configuration = services.active.inForce();
+    if (!request->configuration)
+        co_return refuse(services, *request, ResultCode::NoConfiguration, sometime(services, returnWithoutConfiguration));
+    const auto host = request->message[http::field::host];
+    const auto target = request->message.target();
+    request->route = findRoute(request->configuration->routes, { host.data(), host.size() }, { target.data(), target.size() });
+    if (!request->route)
+        co_return refuseAbsent(services, *request, ResultCode::NoRoute);
+    if (const ResultCode code = findAccount(services, *request); code != ResultCode::Ok)
+        co_return refuseAbsent(services, *request, code);
+    setDeadline(services, *request);
+    request->service = chooseService(*request->route, services.random());
+    if (services.backends.of(request->service).empty() || !choose(services, *request))
+        co_return refuse(services, *request, services.backends.of(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded, sometime(services, shortestReturn));
+    if (request->account && request->account->rate.value > 0) {
+        const DrawResult drawn = co_await takeToken(services, *request->account);
+        if (drawn.granted == 0)
+            co_return refuse(services, *request, ResultCode::RateExceeded, sometime(services, std::max(drawn.retryAfter, shortestReturn)));
+    }
+    co_return co_await dispatch(services, request);
+}
+
+} // namespace lacewingsail::internal
--- /dev/null
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
@@ -0,0 +1,262 @@
+#include "Upstream.h"
+
+#include "HopHeaders.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lacewingsail::internal {
+
+namespace {
+
+    constexpr std::uint32_t largestAnswerHeader = 64 * 1024;
+    // The largest answer that a host takes whole into its memory.
+    constexpr std::uint64_t largestAnswer = 64 * 1024 * 1024;
+    // Many round trips between zones (2 ms) and a few times what opening a connection to a full server takes.
+    constexpr std::chrono::milliseconds connectTimeout { 250 };
+    // Unacknowledged bytes for this long mean that the way to the server is cut.
+    constexpr unsigned unacknowledgedMilliseconds = 1200;
+    // A request that may not be repeated goes over a connection whose both ways have just worked, or over a new one.
+    constexpr std::chrono::milliseconds provenConnection { 500 };
+    constexpr std::chrono::seconds keptConnection { 30 };
+    // Used where the server states no timeout of its own.
+    constexpr std::chrono::seconds defaultKeepAlive { 5 };
+    constexpr int mostStaleAnswers = 3;
+    constexpr std::chrono::milliseconds fullBackOff { 200 };
+    constexpr std::chrono::seconds misdirectedBackOff { 3 };
+    constexpr unsigned misdirectedStatus = 421;
+
+    using AnswerParser = http::response_parser<http::string_body>;
+
+    /// \brief Counts a request as under way at a server for as long as it exists.
+    class InFlight {
+    public:
+        explicit InFlight(BackendStatePtr state)
+            : m_state(std::move(state))
+        {
+            m_state->own.inFlight += 1;
+        }
+        ~InFlight() { m_state->own.inFlight -= 1; }
+        InFlight(const InFlight&) = delete;
+        InFlight& operator=(const InFlight&) = delete;
+
+    private:
+        BackendStatePtr m_state;
+    };
+
+    bool mayRepeat(const RequestState& request) { return request.route->repeatable; }
+
+    net::awaitable<UpstreamConnectionPtr> connect(RequestServices& services, RequestState& request, BackendState& server, MonotonicTime until)
+    {
+        auto connection = std::make_shared<UpstreamConnection>(services.context);
+        connection->stream.expires_at(std::min(until, services.clock.now() + connectTimeout));
+        request.cancelAttempt = [weak = std::weak_ptr(connection)] {
+            if (const auto open = weak.lock())
+                open->stream.cancel();
+        };
+        boost::system::error_code error;
+        const auto address = net::ip::make_address(server.server.endpoint.address, error);
+        if (!error)
+            co_await connection->stream.async_connect(net::ip::tcp::endpoint(address, server.server.endpoint.port), net::redirect_error(net::use_awaitable, error));
+        if (error) {
+            log(Event("connect-failed").with("request", request.id).with("server", server.server.id).with("address", text(server.server.endpoint)).with("reason", error.message()));
+            co_return nullptr;
+        }
+        auto& socket = connection->stream.socket();
+        socket.set_option(net::ip::tcp::no_delay(true), error);
+        setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof unacknowledgedMilliseconds);
+        co_return connection;
+    }
+
+    RequestMessage messageFor(const RequestServices& services, const RequestState& request, const BackendState& server)
+    {
+        const HeaderNames& names = services.names;
+        RequestMessage message = request.message;
+        eraseHopFields(message);
+        message.erase(http::field::authorization);
+        message.erase(http::field::expect);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - services.clock.now());
+        message.set(names.deadline, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+        message.set(names.expectedServer, server.server.id.value());
+        message.erase(names.account);
+        if (request.account)
+            message.set(names.account, request.account->id.value());
+        message.keep_alive(true);
+        message.prepare_payload();
+        return message;
+    }
+
+    Duration keepAliveOf(const AnswerMessage& answer)
+    {
+        const std::string_view value(answer["Keep-Alive"].data(), answer["Keep-Alive"].size());
+        constexpr std::string_view parameter = "timeout=";
+        const std::size_t found = value.find(parameter);
+        int seconds = 0;
+        if (found == std::string_view::npos)
+            return defaultKeepAlive;
+        const std::string_view digits = value.substr(found + parameter.size());
+        const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+        return error == std::errc {} ? Duration(std::chrono::seconds(seconds)) : Duration(defaultKeepAlive);
+    }
+
+    /// \brief A whole answer as read, and what it says of the connection.
+    struct WholeAnswer {
+        AnswerMessage message;
+        bool keepsConnection = false;
+    };
+
+    // Reads answers until one that is not an interim one.
+    net::awaitable<std::optional<WholeAnswer>> readAnswer(UpstreamConnection& connection, http::verb method, boost::system::error_code& error)
+    {
+        for (;;) {
+            AnswerParser parser;
+            parser.header_limit(largestAnswerHeader);
+            parser.body_limit(largestAnswer);
+            parser.skip(method == http::verb::head);
+            co_await http::async_read(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
+            if (error)
+                co_return std::nullopt;
+            const unsigned status = parser.get().result_int();
+            if (status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols))
+                continue;
+            WholeAnswer whole;
+            whole.keepsConnection = parser.keep_alive() && !parser.need_eof();
+            whole.message = parser.release();
+            co_return whole;
+        }
+    }
+
+    // An answer to an earlier request may still come first on a kept connection.
+    bool belongsToAnother(const HeaderNames& names, const RequestState& request, const AnswerMessage& answer)
+    {
+        const auto id = answer[names.requestId];
+        return !id.empty() && id != request.id;
+    }
+
+    net::awaitable<std::optional<WholeAnswer>> readOwnAnswer(const RequestServices& services, const RequestState& request, UpstreamConnection& connection, boost::system::error_code& error)
+    {
+        for (int stale = 0; stale <= mostStaleAnswers; ++stale) {
+            auto whole = co_await readAnswer(connection, request.message.method(), error);
+            if (error || !whole || !belongsToAnother(services.names, request, whole->message))
+                co_return whole;
+            log(Event("answer-of-another-request").with("request", request.id).with("answers", whole->message[services.names.requestId]));
+            if (!whole->keepsConnection)
+                break;
+        }
+        error = http::error::unexpected_body;
+        co_return std::nullopt;
+    }
+
+    bool isSuccess(const AnswerMessage& answer) { return answer.result_int() >= 200 && answer.result_int() < 300; }
+
+    // A success counts only as the server itself signed it, with the bytes that it sent.
+    bool isWrong(const HeaderNames& names, const AnswerMessage& answer)
+    {
+        if (answer[names.requestId].empty())
+            return true;
+        return isSuccess(answer) && (answer[names.signature].empty() || answer.count(http::field::content_encoding) != 0);
+    }
+
+    void noteOutcome(RequestServices& services, BackendState& server, AttemptEnd end, unsigned status, MonotonicTime begunAt)
+    {
+        services.backends.fadeOwn(server);
+        const std::chrono::duration<double, std::milli> took = services.clock.now() - begunAt;
+        if (end == AttemptEnd::Answered && status < 500) {
+            server.own.answered += 1;
+            server.own.answerMilliseconds += took.count();
+        } else if (end != AttemptEnd::NotRun) {
+            server.own.failed += 1;
+        }
+    }
+
+    void takeLoad(const RequestServices& services, BackendState& server, const AnswerMessage& answer)
+    {
+        const auto field = answer[services.names.load];
+        if (field.empty())
+            return;
+        const auto load = services.names.parseLoad({ field.data(), field.size() });
+        if (!load)
+            return;
+        // The server counts all that it has; what this host has there is known better.
+        const double reported = load->running + load->waiting;
+        server.others.inFlight = std::max(0.0, reported - server.own.inFlight);
+    }
+
+    AttemptReport reportOf(RequestServices& services, const RequestState& request, BackendState& server, AnswerMessage answer, MonotonicTime begunAt)
+    {
+        const HeaderNames& names = services.names;
+        const MonotonicTime now = services.clock.now();
+        takeLoad(services, server, answer);
+        noteReachable(server);
+        if (!answer[names.notRun].empty() || answer.result_int() == misdirectedStatus) {
+            const bool misdirected = answer.result_int() == misdirectedStatus;
+            server.fullUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(fullBackOff));
+            noteOutcome(services, server, AttemptEnd::NotRun, answer.result_int(), begunAt);
+            log(Event("server-refused").with("request", request.id).with("server", server.server.id).with("status", static_cast<long long>(answer.result_int())));
+            return { AttemptEnd::NotRun, ResultCode::Overloaded, {} };
+        }
+        if (isWrong(names, answer)) {
+            noteOutcome(services, server, AttemptEnd::Unknown, answer.result_int(), begunAt);
+            return { AttemptEnd::Unknown, ResultCode::UpstreamWrongAnswer, {} };
+        }
+        noteOutcome(services, server, AttemptEnd::Answered, answer.result_int(), begunAt);
+        return { AttemptEnd::Answered, ResultCode::Ok, std::move(answer) };
+    }
+
+    AttemptReport brokenOff(RequestServices& services, const RequestState& request, BackendState& server, const boost::system::error_code& error, MonotonicTime begunAt)
+    {
+        const bool timedOut = error == beast::error::timeout;
+        if (!request.callerGone) {
+            noteOutcome(services, server, AttemptEnd::Unknown, 0, begunAt);
+            // Only what this host does not hear from the server says something about the way to it.
+            if (timedOut)
+                noteUnreachable(server, services.clock.now());
+            log(Event("attempt-failed").with("request", request.id).with("server", server.server.id).with("reason", error.message()).with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - begunAt).count()));
+        }
+        return { AttemptEnd::Unknown, timedOut ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken, {} };
+    }
+
+} // namespace
+
+net::awaitable<AttemptReport> attempt(RequestServices& services, std::shared_ptr<RequestState> request, BackendStatePtr server, MonotonicTime until)
+{
+    const InFlight inFlight(server);
+    const Duration mostIdle = mayRepeat(*request) ? Duration(keptConnection) : Duration(provenConnection);
+    UpstreamConnectionPtr connection = takeIdle(*server, services.clock.now(), mostIdle);
+    if (!connection)
+        connection = co_await connect(services, *request, *server, until);
+    if (!connection) {
+        if (!request->callerGone)
+            noteUnreachable(*server, services.clock.now());
+        co_return AttemptReport {};
+    }
+    // The server may have begun to leave, and the caller may have gone, while the connection was opened.
+    if (!server->inUse || request->callerGone)
+        co_return AttemptReport { AttemptEnd::NotSent, ResultCode::NoBackendServer, {} };
+    request->cancelAttempt = [weak = std::weak_ptr(connection)] {
+        if (const auto open = weak.lock())
+            open->stream.cancel();
+    };
+    const MonotonicTime begunAt = services.clock.now();
+    connection->stream.expires_at(until);
+    request->sentTo.push_back(server->server.id);
+    // A server may answer before it has read a long body, so that writing goes on beside reading.
+    const auto message = std::make_shared<RequestMessage>(messageFor(services, *request, *server));
+    const auto written = std::make_shared<bool>(false);
+    http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
+    boost::system::error_code error;
+    auto whole = co_await readOwnAnswer(services, *request, *connection, error);
+    request->cancelAttempt = nullptr;
+    if (error || !whole) {
+        connection->stream.close();
+        co_return brokenOff(services, *request, *server, error, begunAt);
+    }
+    const bool reusable = whole->keepsConnection && *written && connection->buffer.size() == 0;
+    if (reusable)
+        putIdle(*server, connection, services.clock.now(), keepAliveOf(whole->message));
+    else
+        connection->stream.close();
+    co_return reportOf(services, *request, *server, std::move(whole->message), begunAt);
+}
+
+} // namespace lacewingsail::internal
--- a/packages/http/lacewingsail/Http.h
+++ b/packages/http/lacewingsail/Http.h
@@ -7,6 +7,8 @@
 
 #include "src/Http/ForwardDeclarations.h"
 
+#include "src/Http/HttpCalls.h"
 #include "src/Http/HttpClient.h"
 #include "src/Http/HttpServer.h"
 #include "src/Http/Message.h"
+#include "src/Http/RawHeader.h"
--- a/packages/http/lacewingsail/src/Http/ForwardDeclarations.h
+++ b/packages/http/lacewingsail/src/Http/ForwardDeclarations.h
@@ -2,6 +2,7 @@
 
 namespace lacewingsail {
 
+class HttpCalls;
 class HttpClient;
 class HttpServer;
 struct HttpField;
--- a/packages/proxy/lacewingsail/src/Proxy/RawHeader.cpp
+++ b/packages/http/lacewingsail/src/Http/RawHeader.cpp
@@ -1,9 +1,9 @@
-#include "RawHeader.h"
+#include <lacewingsail/Http.h>
 
 #include <algorithm>
 #include <cassert>
 
-namespace lacewingsail::internal {
+namespace lacewingsail {
 
 namespace {
 
@@ -72,4 +72,4 @@
     return ResultCode::MalformedRequest;
 }
 
-} // namespace lacewingsail::internal
+} // namespace lacewingsail
--- a/packages/proxy/lacewingsail/src/Proxy/RawHeader.h
+++ b/packages/http/lacewingsail/src/Http/RawHeader.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <string_view>
 
-namespace lacewingsail::internal {
+namespace lacewingsail {
 
 /// \returns the size of the header at the front of \p bytes with its empty line, or npos while that has not arrived.
 /// Bare line feeds end a header too, so that it can be refused at once.
@@ -16,4 +16,4 @@
 /// \returns ResultCode::Ok or the reason of the refusal.
 ResultCode checkRawHeader(std::string_view header);
 
-} // namespace lacewingsail::internal
+} // namespace lacewingsail
--- a/packages/observe/lacewingsail/Observe.h
+++ b/packages/observe/lacewingsail/Observe.h
@@ -10,4 +10,5 @@
 #include "src/Observe/Event.h"
 #include "src/Observe/Journal.h"
 #include "src/Observe/LatencyHistogram.h"
+#include "src/Observe/LineLog.h"
 #include "src/Observe/Metrics.h"
--- a/packages/observe/lacewingsail/src/Observe/Event.cpp
+++ b/packages/observe/lacewingsail/src/Observe/Event.cpp
@@ -32,6 +32,12 @@
         line += '"';
     }
 
+    std::function<void(std::string_view)>& logSink()
+    {
+        static std::function<void(std::string_view)> sink;
+        return sink;
+    }
+
 } // namespace internal
 
 Event::Event(std::string_view name)
@@ -65,8 +71,12 @@
 
 void log(const Event& event) { logLine(event.line()); }
 
+void redirectLog(std::function<void(std::string_view)> sink) { internal::logSink() = std::move(sink); }
+
 void logLine(std::string_view line)
 {
+    if (const auto& sink = internal::logSink())
+        return sink(line);
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
     LOG(INFO) << "time_ms=" << milliseconds << ' ' << line;
--- a/packages/observe/lacewingsail/src/Observe/Event.h
+++ b/packages/observe/lacewingsail/src/Observe/Event.h
@@ -2,6 +2,7 @@
 
 #include <lacewingsail/World.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,10 @@
 /// \brief Sends log lines to the standard error stream, one event a line, each with its time.
 void startLog(const char* program);
 
+/// \brief Sends log lines to \p sink from now on, in place of the standard error stream. To be called before any other
+/// thread starts.
+void redirectLog(std::function<void(std::string_view line)> sink);
+
 /// \brief Writes the event to the log. May wait for the log stream; not for request threads.
 void log(const Event&);
 
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/Placement.cpp
@@ -0,0 +1,87 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // Weight of a server in another availability zone: about a quarter of the requests leave the zone when all servers
+    // are equally free, which keeps the sight of the far ones fresh.
+    constexpr double farWeight = 0.25;
+    constexpr double warmupWeight = 0.3;
+    // Outcomes below this are too few to call a server failing.
+    constexpr double leastOutcomes = 2;
+    // Share of failures from which a server counts as failing; twenty times the users' base rate of errors.
+    constexpr double failingShare = 0.3;
+    // What a failing server still gets of the requests that may be repeated, so that its recovery is seen.
+    constexpr double trialWeight = 0.06;
+    // Failures weigh this many times: two servers at 0 and 20 percent differ by more than their success rates.
+    constexpr double failurePower = 6;
+
+    bool isFailing(const ServerSight& server)
+    {
+        return server.outcomes >= leastOutcomes && server.failedShare >= failingShare;
+    }
+
+    double capacity(const ServerSight& server)
+    {
+        return server.slots.value / std::max(server.slowness, 1.0);
+    }
+
+    bool mayServe(const ServerSight& server)
+    {
+        return !server.tried && !server.full && !server.unreachable;
+    }
+
+    double weightOf(const ServerSight& server, const PlacementTerms& terms, bool avoidFailing)
+    {
+        if (!mayServe(server) || server.load >= terms.mostFill * capacity(server))
+            return 0;
+        const double fill = server.load / capacity(server);
+        // Queued requests wait: beyond the slots a server is hardly chosen while others have free ones.
+        const double room = fill < 1 ? 1.05 - fill : 0.05 / (fill * fill);
+        double weight = capacity(server) * room * room;
+        weight *= std::pow(1 - std::min(server.failedShare, 0.95) * (server.outcomes / (server.outcomes + 1)), failurePower);
+        if (!server.sameZone)
+            weight *= farWeight;
+        if (server.warmingUp)
+            weight *= warmupWeight;
+        if (avoidFailing && isFailing(server))
+            return terms.mayTryFailing ? weight * trialWeight : 0;
+        return weight;
+    }
+
+    // Failing servers are avoided unless too few would be left.
+    bool mayAvoidFailing(std::span<const ServerSight> servers, double floorShare)
+    {
+        const auto failing = std::ranges::count_if(servers, isFailing);
+        return static_cast<double>(failing) <= (1 - floorShare) * static_cast<double>(servers.size());
+    }
+
+} // namespace internal
+
+std::optional<std::size_t> place(std::span<const ServerSight> servers, const PlacementTerms& terms, double random)
+{
+    const bool avoidFailing = internal::mayAvoidFailing(servers, terms.floorShare);
+    double sum = 0;
+    for (const ServerSight& server : servers)
+        sum += internal::weightOf(server, terms, avoidFailing);
+    if (sum <= 0)
+        return std::nullopt;
+    double position = random * sum;
+    std::optional<std::size_t> last;
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        const double weight = internal::weightOf(servers[index], terms, avoidFailing);
+        if (weight <= 0)
+            continue;
+        last = index;
+        position -= weight;
+        if (position < 0)
+            break;
+    }
+    return last;
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/Relays.cpp
@@ -0,0 +1,45 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    struct Ranked {
+        std::uint64_t weight = 0;
+        const LiveHost* host = nullptr;
+    };
+
+    std::vector<const LiveHost*> best(std::vector<Ranked> ranked, std::size_t most)
+    {
+        const std::size_t count = std::min(most, ranked.size());
+        const auto middle = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+        std::partial_sort(ranked.begin(), middle, ranked.end(), [](const Ranked& left, const Ranked& right) { return left.weight > right.weight; });
+        std::vector<const LiveHost*> hosts;
+        for (std::size_t index = 0; index < count; ++index)
+            hosts.push_back(ranked[index].host);
+        return hosts;
+    }
+
+} // namespace internal
+
+std::vector<const LiveHost*> rankHosts(std::span<const LiveHost> hosts, std::string_view subject, std::size_t most)
+{
+    std::vector<internal::Ranked> ranked;
+    for (const LiveHost& host : hosts)
+        ranked.push_back({ rendezvousWeight(subject, host.id.value()), &host });
+    return internal::best(std::move(ranked), most);
+}
+
+std::vector<const LiveHost*> relaysOf(std::span<const LiveHost> hosts, const ZoneId& zone)
+{
+    std::vector<internal::Ranked> ranked;
+    for (const LiveHost& host : hosts) {
+        if (host.zone == zone)
+            ranked.push_back({ rendezvousWeight(zone.value(), host.id.value()), &host });
+    }
+    return internal::best(std::move(ranked), relaysPerZone);
+}
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/ServerUse.cpp
@@ -0,0 +1,34 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // A gray failure lasts for several seconds: older outcomes say nothing about the next request.
+    constexpr std::chrono::duration<double> useHalfLife { 2.0 };
+
+} // namespace internal
+
+ServerUse operator+(const ServerUse& left, const ServerUse& right)
+{
+    return { left.inFlight + right.inFlight, left.answered + right.answered, left.failed + right.failed, left.answerMilliseconds + right.answerMilliseconds };
+}
+
+ServerUse beyond(const ServerUse& whole, const ServerUse& part)
+{
+    return { std::max(0.0, whole.inFlight - part.inFlight), std::max(0.0, whole.answered - part.answered),
+        std::max(0.0, whole.failed - part.failed), std::max(0.0, whole.answerMilliseconds - part.answerMilliseconds) };
+}
+
+void fade(ServerUse& use, Duration elapsed)
+{
+    const double factor = std::exp2(-std::chrono::duration<double>(elapsed) / internal::useHalfLife);
+    use.answered *= factor;
+    use.failed *= factor;
+    use.answerMilliseconds *= factor;
+}
+
+} // namespace lacewingsail
--- a/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
@@ -1,9 +1,9 @@
 #include "CallerSession.h"
 
-#include "RawHeader.h"
 #include "Refusal.h"
 #include "RequestPath.h"
 
+#include <lacewingsail/Http.h>
 #include <lacewingsail/Wire.h>
 
 #include <algorithm>
--- a/packages/wire/lacewingsail/Wire.h
+++ b/packages/wire/lacewingsail/Wire.h
@@ -9,6 +9,7 @@
 
 #include "src/Wire/ConfigurationCodec.h"
 #include "src/Wire/Digest.h"
+#include "src/Wire/GatewaySettingsCodec.h"
 #include "src/Wire/HostListCodec.h"
 #include "src/Wire/Problems.h"
 #include "src/Wire/RecordCodec.h"
--- a/packages/wire/lacewingsail/src/Wire/JsonReader.cpp
+++ b/packages/wire/lacewingsail/src/Wire/JsonReader.cpp
@@ -52,6 +52,20 @@
     return *number;
 }
 
+double JsonReader::number(std::string_view name, double least, double most, std::optional<double> fallback)
+{
+    const json::value* found = field(name, !fallback);
+    if (!found)
+        return fallback.value_or(least);
+    boost::system::error_code error;
+    const double value = found->is_number() ? found->to_number<double>(error) : least - 1;
+    if (error || !(value >= least && value <= most)) {
+        problem(name, "must be a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return least;
+    }
+    return value;
+}
+
 bool JsonReader::boolean(std::string_view name, std::optional<bool> fallback)
 {
     const json::value* found = field(name, !fallback);
--- a/packages/wire/lacewingsail/src/Wire/JsonReader.h
+++ b/packages/wire/lacewingsail/src/Wire/JsonReader.h
@@ -23,6 +23,7 @@
     /// \brief Each reads one field; a missing optional field leaves \p fallback.
     std::string text(std::string_view name, std::optional<std::string> fallback = std::nullopt);
     std::int64_t integer(std::string_view name, std::int64_t least, std::int64_t most, std::optional<std::int64_t> fallback = std::nullopt);
+    double number(std::string_view name, double least, double most, std::optional<double> fallback = std::nullopt);
     bool boolean(std::string_view name, std::optional<bool> fallback = std::nullopt);
 
     /// \brief Calls \p read with each element and its path. A missing array counts as empty if \p required is false.
--- a/packages/world/lacewingsail/src/World/Contracts.h
+++ b/packages/world/lacewingsail/src/World/Contracts.h
@@ -5,6 +5,7 @@
 #include "Units.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     /// Share of the service's slots that ejection must leave in place.
     Percent floor { 50 };
     EjectionMode mode = EjectionMode::Automatic;
+    /// Connections that each backend server takes from all hosts together; 0 if not stated.
+    int mostConnections = 0;
 
     bool operator==(const Service&) const = default;
 };
@@ -38,6 +41,22 @@
     Open,
 };
 
+/// \brief A service's part of a route whose requests go to several services.
+struct ServiceShare {
+    ServiceId service;
+    /// Relative to the other parts of the route.
+    int weight = 0;
+
+    bool operator==(const ServiceShare&) const = default;
+};
+
+/// \brief How urgent a request is: 0 is the most urgent.
+struct Priority {
+    int value = 0;
+
+    auto operator<=>(const Priority&) const = default;
+};
+
 /// \brief Which requests go to which service, and under which rules.
 struct Route {
     RouteId id;
@@ -48,6 +67,15 @@
     /// Whether the request may run more than once without harm (idempotent).
     bool repeatable = false;
     std::chrono::milliseconds deadline { 2000 };
+    /// Host name that callers ask for; empty matches any.
+    std::string host;
+    /// Services that share the requests; empty if all go to \ref service.
+    std::vector<ServiceShare> split;
+    /// Backend servers to which one request may be sent at most.
+    int mostAttempts = 3;
+    /// Latency objective; zero if there is none.
+    std::chrono::milliseconds targetLatency { 0 };
+    Priority priority { 1 };
 
     bool operator==(const Route&) const = default;
 };
@@ -67,6 +95,8 @@
     TokensPerSecond rate;
     MicroTokens burst;
     std::vector<Key> keys;
+    /// Takes precedence over the priorities of routes.
+    std::optional<Priority> priority = std::nullopt;
 
     bool operator==(const ClientAccount&) const = default;
 };
--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -4,6 +4,8 @@
 #include <lacewingsail/Observe.h>
 #include <lacewingsail/Wire.h>
 
+#include <UsersPlatform.h>
+
 #include <popt.h>
 
 #include <atomic>
@@ -24,6 +26,8 @@
 
     struct Options {
         std::string settingsFile;
+        /// Runs a gateway host, with the settings that the platform gives.
+        bool gateway = false;
         bool checkOnly = false;
     };
 
@@ -31,9 +35,11 @@
     bool parseOptions(int argumentCount, const char** arguments, Options& options)
     {
         char* settingsFile = nullptr;
+        char* role = nullptr;
         int checkOnly = 0;
         const poptOption table[] = {
             { "settings", 's', POPT_ARG_STRING, &settingsFile, 0, "read the settings of this host from FILE", "FILE" },
+            { "role", 'r', POPT_ARG_STRING, &role, 0, "entry (a host of a fleet over the log service, the default) or gateway (a host on the users' platform, which names its settings file in the environment)", "ROLE" },
             { "check", 'c', POPT_ARG_NONE, &checkOnly, 0, "check the settings and exit", nullptr },
             POPT_AUTOHELP POPT_TABLEEND
         };
@@ -46,12 +52,24 @@
             std::cerr << "lacewingd: unexpected argument " << poptPeekArg(context) << '\n';
         if (settingsFile)
             options.settingsFile = settingsFile;
-        free(settingsFile); // NOLINT: popt allocates it with malloc
+        const std::string roleName = role ? role : "entry";
+        // NOLINTBEGIN: popt allocates them with malloc
+        free(settingsFile);
+        free(role);
+        // NOLINTEND
+        options.gateway = roleName == "gateway";
+        const bool knownRole = options.gateway || roleName == "entry";
+        if (!knownRole)
+            std::cerr << "lacewingd: unknown role " << roleName << '\n';
         options.checkOnly = checkOnly != 0;
         poptFreeContext(context);
-        if (result == -1 && !surplus && options.settingsFile.empty())
-            std::cerr << "lacewingd: --settings FILE is required\n";
-        return result == -1 && !surplus && !options.settingsFile.empty();
+        if (result != -1 || surplus || !knownRole)
+            return false;
+        if (options.gateway == !options.settingsFile.empty()) {
+            std::cerr << (options.gateway ? "lacewingd: --settings is not for this role\n" : "lacewingd: --settings FILE is required\n");
+            return false;
+        }
+        return true;
     }
 
     std::optional<HostSettings> readSettings(const std::string& file)
@@ -101,11 +119,28 @@
         return 0;
     }
 
+    int runGateway(bool checkOnly)
+    {
+        const auto settings = users_platform::readSettings();
+        if (!settings)
+            return exitUsage;
+        if (checkOnly)
+            return 0;
+        std::signal(SIGPIPE, SIG_IGN);
+        if (const std::error_code error = users_platform::runGateway(*settings)) {
+            std::cerr << "lacewingd: cannot listen: " << error.message() << '\n';
+            return exitFailure;
+        }
+        return 0;
+    }
+
     int run(int argumentCount, const char** arguments)
     {
         Options options;
         if (!parseOptions(argumentCount, arguments, options))
             return exitUsage;
+        if (options.gateway)
+            return runGateway(options.checkOnly);
         auto settings = readSettings(options.settingsFile);
         if (!settings)
             return exitUsage;
