--- /dev/null
+++ b/scripts/fleet/users_platform.py
@@ -0,0 +1,285 @@
+"""Stand-ins of the users' platform on loopback: its store and its backend servers, with faults set by the test.
+
+They speak the users' published protocol (a log with keyed topics; HTTP/1.1 backend servers) and live in the test's own
+process, so that a test reads what they have seen without asking.
+"""
+
+import base64
+import json
+import os
+import socket
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+from fleet.processes import Process, address, free_ports, wait_until
+
+HEARTBEAT_S = 0.5
+SILENCE_S = 30
+
+
+class Listener(ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        """A connection that broke is part of the test."""
+
+
+class Store:
+    """The platform's store. `mode` is up, busy, reset or silent; `delay_s` slows its answers; `lose_writes` drops the
+    answers of writes after they took effect."""
+
+    def __init__(self, port):
+        self.address = address(port)
+        self.topics = {}
+        self.first = {}
+        self.mode = "up"
+        self.delay_s = 0
+        self.lose_writes = False
+        self.calls = []
+        self.changed = threading.Condition()
+        self.server = Listener(("127.0.0.1", port), self._handler())
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def put(self, topic, key, value):
+        """Appends a keyed record; a value of None drops the key. Returns its offset."""
+        content = bytes([len(key)]) + key.encode() + (b"" if value is None else value)
+        return self.append(topic, [content])
+
+    def append(self, topic, contents):
+        with self.changed:
+            records = self.topics.setdefault(topic, [])
+            offset = len(records)
+            records.extend(contents)
+            self.changed.notify_all()
+            return offset
+
+    def forget(self, topic):
+        """Deletes the history of a topic; the newest record of each key stays to be read as such."""
+        with self.changed:
+            self.first[topic] = len(self.topics.get(topic, []))
+
+    def newest(self, topic):
+        keys = {}
+        for offset, content in enumerate(self.topics.get(topic, [])):
+            length = content[0]
+            keys[content[1:1 + length].decode()] = (offset, content[1 + length:])
+        return {key: entry for key, entry in keys.items() if entry[1]}
+
+    def read(self, topic, start, wait_s):
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while len(self.topics.get(topic, [])) <= start and time.monotonic() < deadline:
+                self.changed.wait(max(0.001, deadline - time.monotonic()))
+            if start < self.first.get(topic, 0):
+                return None
+            records = self.topics.get(topic, [])
+            body = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+            return body + b"".join(struct.pack(">I", len(each)) + each for each in records[start:])
+
+    def _handler(store):  # pylint: disable=no-self-argument
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                """Silent."""
+
+            def reply(self, status, body, content_type="application/json"):
+                self.send_response(status)
+                self.send_header("Content-Type", content_type)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            def refused(self):
+                time.sleep(store.delay_s)
+                if store.mode == "busy":
+                    self.reply(503, b"{}")
+                elif store.mode == "reset":
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    self.close_connection = True
+                elif store.mode == "silent":
+                    time.sleep(SILENCE_S)
+                    self.close_connection = True
+                return store.mode != "up"
+
+            def do_GET(self):
+                url = urlsplit(self.path)
+                query = {key: values[0] for key, values in parse_qs(url.query).items()}
+                store.calls.append(url.path)
+                if self.refused():
+                    return
+                if url.path == "/log-read":
+                    body = store.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000)
+                    if body is None:
+                        self.reply(410, json.dumps({"first": store.first[query["topic"]]}).encode())
+                    else:
+                        self.reply(200, body, "application/octet-stream")
+                    return
+                items = [{"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
+                         for key, (offset, value) in sorted(store.newest(query["topic"]).items()) if key > query.get("after", "")]
+                end = len(store.topics.get(query["topic"], []))
+                self.reply(200, json.dumps({"items": items[:2], "more": len(items) > 2, "end": end}).encode())
+
+            def do_POST(self):
+                url = urlsplit(self.path)
+                query = {key: values[0] for key, values in parse_qs(url.query).items()}
+                body = self.rfile.read(int(self.headers["Content-Length"]))
+                store.calls.append(url.path)
+                if self.refused():
+                    return
+                contents = []
+                while body:
+                    size = struct.unpack(">I", body[:4])[0]
+                    contents.append(body[4:4 + size])
+                    body = body[4 + size:]
+                offset = store.append(query["topic"], contents)
+                if store.lose_writes:
+                    self.close_connection = True
+                    return
+                self.reply(200, json.dumps({"offset": offset, "end": offset + len(contents)}).encode())
+
+        return Handler
+
+
+class Backend:
+    """A backend server that registers itself. `behaviour` is good, error, slow, hang, reset, truncate, extra, unframed,
+    unsigned or shed; `runs` lists (id, account, path, key seen) of every request that it ran."""
+
+    def __init__(self, store, name, service, zone):
+        self.store, self.name, self.service, self.zone = store, name, service, zone
+        self.behaviour = "good"
+        self.state = "ready"
+        self.runs = []
+        self.beats = 0
+        self.alive = True
+        self.address = address(free_ports(1)[0])
+        self.server = Listener(("127.0.0.1", int(self.address.split(":")[1])), self._handler())
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        self.beat()
+        threading.Thread(target=self._beat_on, daemon=True).start()
+
+    def beat(self):
+        self.beats += 1
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+                 "state": self.state, "warmupLeftS": 0, "sequence": self.beats, "born": 1700000000000}
+        self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
+
+    def _beat_on(self):
+        while self.alive:
+            time.sleep(HEARTBEAT_S)
+            if self.alive:
+                self.beat()
+
+    def drain(self):
+        self.state = "draining"
+        self.beat()
+
+    def leave(self):
+        self.alive = False
+        self.store.put("keyed.servers", self.name, None)
+
+    def _handler(backend):  # pylint: disable=no-self-argument
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                """Silent."""
+
+            def raw(self, status, body, length=None, extra=b"", signed=True, run=True):
+                lines = [f"HTTP/1.1 {status} X", f"Attempt-Id: {self.headers['Attempt-Id']}", "Server-Load: 1,0,6"]
+                if signed:
+                    lines.append("Response-Signature: s1")
+                if not run:
+                    lines.append("Not-Executed: 1")
+                if length is not None:
+                    lines.append(f"Content-Length: {length}")
+                self.wfile.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body + extra)
+                self.wfile.flush()
+
+            def serve(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                behaviour = backend.behaviour
+                if self.headers.get("Target-Instance") != backend.name:
+                    return self.raw(421, b"", 0, signed=False)
+                if behaviour == "shed":
+                    return self.raw(503, b"", 0, signed=False, run=False)
+                backend.runs.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
+                answer = f"{backend.name} {self.path} ".encode() + body
+                if behaviour == "hang":
+                    time.sleep(SILENCE_S)
+                if behaviour == "slow":
+                    time.sleep(0.6)
+                if behaviour == "error":
+                    return self.raw(500, b"broken", 6)
+                if behaviour == "unsigned":
+                    return self.raw(200, answer, len(answer), signed=False)
+                if behaviour == "reset":
+                    self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                    self.close_connection = True
+                    return self.connection.close()
+                if behaviour == "truncate":
+                    self.close_connection = True
+                    return self.raw(200, answer[:3], len(answer))
+                if behaviour == "unframed":
+                    self.close_connection = True
+                    return self.raw(200, answer)
+                extra = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nlate" if behaviour == "extra" else b""
+                return self.raw(200, answer, len(answer), extra)
+
+            do_GET = do_POST = serve
+
+        return Handler
+
+
+class Gateway:
+    """One process of a gateway host."""
+
+    def __init__(self, name, zone, store, directory, build, seeds=()):
+        self.name = name
+        self.callers, self.readiness, self.operators, self.peers = (address(port) for port in free_ports(4))
+        settings = {"host": name, "zone": zone, "callers": self.callers, "readiness": self.readiness, "operators": self.operators,
+                    "peers": self.peers, "store": store.address, "seeds": list(seeds), "bounds": {"stop_grace": 6}}
+        self.settings_path = os.path.join(directory, f"{name}.json")
+        with open(self.settings_path, "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+        os.environ["LACEWINGSAIL_CONFIG"] = self.settings_path
+        self.process = Process(name, [os.path.join(build, "bin", "lacewingd"), "--role", "gateway"], directory)
+
+    def ready(self):
+        with socket.create_connection(tuple_of(self.readiness), timeout=2) as connection:
+            connection.sendall(b"GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+            return b" 200 " in connection.recv(200).split(b"\r\n")[0]
+
+    def await_ready(self):
+        wait_until(self.ready, f"{self.name} to be ready")
+
+    def log_lines(self):
+        with open(self.process.log_path, encoding="utf-8") as file:
+            return file.read().splitlines()
+
+
+def tuple_of(endpoint):
+    host, port = endpoint.split(":")
+    return host, int(port)
+
+
+def configuration(version, routes, accounts, services=("desk", "archive")):
+    """Returns the operators' text. `routes` are (prefix, kind, service or split, timeout, attempts, open)."""
+    rules = []
+    for index, (prefix, kind, target, timeout, attempts, is_open) in enumerate(routes):
+        action = {"timeoutS": timeout, "maxAttempts": attempts}
+        action["service" if isinstance(target, str) else "trafficSplit"] = target
+        rules.append({"name": f"route-{index}", "kind": kind, "targetLatencyS": 1, "priority": 1, "public": is_open,
+                      "match": {"pathPrefix": prefix}, "action": action})
+    return json.dumps({
+        "version": f"r{version}",
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+        "tenants": accounts,
+        "listeners": [{"host": "clubs.example", "routeRules": rules}],
+        "clusters": [{"name": name, "healthCheck": "/health", "maxConnections": 360, "protocol": "h1", "tls": False} for name in services],
+    }).encode()
--- /dev/null
+++ b/tests/gateway_test.py
@@ -0,0 +1,330 @@
+#!/usr/bin/env python3
+"""Gateway hosts as separate processes before stand-ins of the users' platform, under the faults of its pages.
+
+Each case sets one fault and checks what callers and backend servers see. Waits are for conditions, not for times.
+"""
+
+import json
+import os
+import shutil
+import socket
+import sys
+import tempfile
+import threading
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from fleet.processes import ROOT, free_ports, wait_until
+from fleet.users_platform import Backend, Gateway, Store, configuration, tuple_of
+
+ROUTES = [("/look/", "idempotent", "desk", 3, 3, False), ("/book/", "non_idempotent", "desk", 3, 3, False),
+          ("/open/", "idempotent", "desk", 3, 3, True), ("/brief/", "non_idempotent", "desk", 0.4, 2, False)]
+ACCOUNTS = [{"name": "norrland", "apiKeys": ["key-n"], "priority": 1}, {"name": "skane", "apiKeys": ["key-s"], "ratePerS": 5, "burst": 10}]
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status, self.headers, self.body = status, headers, body
+
+
+class Caller:
+    """One connection of a caller."""
+
+    count = 0
+    lock = threading.Lock()
+
+    def __init__(self, endpoint):
+        self.socket = socket.create_connection(tuple_of(endpoint), timeout=10)
+        self.file = self.socket.makefile("rb")
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.file.close()
+        self.socket.close()
+
+    def send(self, method, path, key="key-n", body=b"", headers=()):
+        with Caller.lock:
+            Caller.count += 1
+            request_id = f"attempt-{Caller.count}"
+        lines = [f"{method} {path} HTTP/1.1", "Host: clubs.example", f"Attempt-Id: {request_id}", "Deadline-Ms: 5000", *headers]
+        if key:
+            lines.append(f"Authorization: Token {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        return request_id
+
+    def receive(self):
+        status_line = self.file.readline()
+        if not status_line:
+            return None
+        headers = {}
+        while (line := self.file.readline()) not in (b"\r\n", b""):
+            name, value = line.decode().split(":", 1)
+            headers[name] = value.strip()
+        return Answer(int(status_line.split()[1]), headers, self.file.read(int(headers.get("Content-Length", 0))))
+
+
+def ask(endpoint, method, path, key="key-n", body=b"", headers=()):
+    with Caller(endpoint) as caller:
+        request_id = caller.send(method, path, key, body, headers)
+        answer = caller.receive()
+        answer.request_id = request_id
+        return answer
+
+
+class World:
+    """Two gateway hosts in one zone, three backend servers, the store."""
+
+    def __init__(self):
+        self.directory = tempfile.mkdtemp(prefix="lacewingsail-gateway-")
+        self.store = Store(free_ports(1)[0])
+        self.version = 1
+        self.publish(ROUTES, ACCOUNTS)
+        self.backends = [Backend(self.store, f"i-{index}", "desk", "a") for index in range(3)]
+        build = os.path.join(ROOT, "build")
+        self.hosts = [Gateway(f"host-{index}", "a", self.store, self.directory, build) for index in range(2)]
+        for host in self.hosts:
+            host.await_ready()
+
+    def publish(self, routes, accounts):
+        self.version += 3
+        self.store.put("keyed.op", "config", configuration(self.version, routes, accounts))
+
+    def behave(self, behaviour):
+        for backend in self.backends:
+            backend.behaviour = behaviour
+
+    def runs(self, request_id):
+        return [run for backend in self.backends for run in backend.runs if run[0] == request_id]
+
+    def close(self):
+        for host in self.hosts:
+            if host.process.alive():
+                host.process.kill()
+        shutil.rmtree(self.directory, ignore_errors=True)
+
+
+def check(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+def request_is_served_for_its_account(world):
+    answer = ask(world.hosts[0].callers, "POST", "/book/7?x=1", body=b"clock", headers=["Tenant: forged"])
+    check(answer.status == 200 and answer.body.endswith(b"/book/7?x=1 clock"), f"answer {answer.status} {answer.body}")
+    check(answer.headers["Response-Signature"] == "s1", "signature is missing")
+    runs = world.runs(answer.request_id)
+    check(len(runs) == 1 and runs[0][1] == "norrland" and runs[0][3] is None, f"runs {runs}")
+
+
+def wrong_keys_and_paths_are_refused(world):
+    endpoint = world.hosts[0].callers
+    check(ask(endpoint, "GET", "/look/1", key="other").status == 401, "unknown key")
+    check(ask(endpoint, "GET", "/look/1", key=None).status == 401, "no key")
+    check(ask(endpoint, "GET", "/nowhere/1").status == 404, "unknown path")
+    answer = ask(endpoint, "GET", "/open/1", key=None, headers=["Tenant: forged"])
+    check(answer.status == 200 and world.runs(answer.request_id)[0][1] is None, "open route")
+
+
+def pipelined_requests_are_answered_in_order(world):
+    with Caller(world.hosts[0].callers) as caller:
+        sent = [caller.send("GET", f"/look/{index}") for index in range(5)]
+        answers = [caller.receive() for _ in sent]
+    check([answer.headers["Attempt-Id"] for answer in answers] == sent, "order of answers")
+    check([answer.status for answer in answers] == [200] * 5, "status of answers")
+
+
+def broken_answers_are_never_passed_on(world):
+    for behaviour in ("truncate", "reset", "unsigned"):
+        world.backends[0].behaviour = world.backends[1].behaviour = world.backends[2].behaviour = behaviour
+        answer = ask(world.hosts[0].callers, "POST", "/book/1")
+        check(answer.status == 502, f"{behaviour}: status {answer.status}")
+        check(len(world.runs(answer.request_id)) == 1, f"{behaviour}: booking ran {len(world.runs(answer.request_id))} times")
+    world.behave("good")
+
+
+def repeatable_request_survives_a_failing_server(world):
+    for behaviour in ("error", "reset", "truncate", "shed"):
+        world.behave("good")
+        world.backends[1].behaviour = behaviour
+        answers = [ask(world.hosts[0].callers, "GET", "/look/1") for _ in range(6)]
+        check(all(answer.status == 200 for answer in answers), f"{behaviour}: {[answer.status for answer in answers]}")
+    world.behave("good")
+
+
+def shed_booking_goes_to_another_server_or_is_said_not_to_have_run(world):
+    world.behave("shed")
+    answer = ask(world.hosts[1].callers, "POST", "/book/1")
+    check(answer.status == 503 and "Retry-After" in answer.headers, f"status {answer.status}")
+    check(not world.runs(answer.request_id), "a refused booking ran")
+    world.behave("good")
+    wait_until(lambda: ask(world.hosts[1].callers, "POST", "/book/1").status == 200, "bookings to be served again")
+
+
+def surplus_answers_reach_nobody(world):
+    world.behave("extra")
+    with Caller(world.hosts[0].callers) as caller:
+        for index in range(6):
+            request_id = caller.send("GET", f"/look/{index}")
+            answer = caller.receive()
+            check(answer.headers.get("Attempt-Id") == request_id, f"answer of {answer.headers.get('Attempt-Id')}")
+            check(answer.body.endswith(f"/look/{index} ".encode()), f"body {answer.body}")
+    world.behave("good")
+
+
+def answer_without_length_is_whole(world):
+    world.behave("unframed")
+    answer = ask(world.hosts[0].callers, "GET", "/look/3")
+    check(answer.status == 200 and answer.body.endswith(b"/look/3 "), f"answer {answer.status} {answer.body}")
+    world.behave("good")
+
+
+def booking_past_its_time_ends_and_is_not_repeated(world):
+    world.behave("slow")
+    answer = ask(world.hosts[0].callers, "POST", "/brief/1")
+    check(answer.status == 504, f"status {answer.status}")
+    check(len(world.runs(answer.request_id)) == 1, "runs")
+    world.behave("good")
+    wait_until(lambda: ask(world.hosts[0].callers, "GET", "/look/1").status == 200, "servers to be in use again")
+
+
+def account_above_its_rate_is_refused_on_all_hosts_together(world):
+    answers = [ask(world.hosts[index % 2].callers, "GET", "/look/1", key="key-s") for index in range(60)]
+    served = sum(answer.status == 200 for answer in answers)
+    refused = [answer for answer in answers if answer.status == 429]
+    check(served + len(refused) == 60, f"{sorted({answer.status for answer in answers})}")
+    check(refused, "nothing was refused")
+    check(all(float(answer.headers["Retry-After"]) > 0 for answer in refused), "no time to come back")
+    check(not any(world.runs(answer.request_id) for answer in refused), "a refused request ran")
+
+
+def configuration_and_key_changes_reach_all_hosts(world):
+    accounts = [{**ACCOUNTS[0], "apiKeys": ["key-new"]}, ACCOUNTS[1]]
+    world.publish(ROUTES + [("/added/", "idempotent", "desk", 3, 3, False)], accounts)
+    for host in world.hosts:
+        wait_until(lambda host=host: ask(host.callers, "GET", "/added/1", key="key-new").status == 200, "the new route")
+        check(ask(host.callers, "GET", "/look/1", key="key-n").status == 401, "a withdrawn key works")
+    world.store.put("keyed.op", "config", configuration(1, ROUTES, ACCOUNTS))
+    world.publish(ROUTES, accounts + [{"name": "mark", "apiKeys": ["key-mark"]}])
+    for host in world.hosts:
+        wait_until(lambda host=host: ask(host.callers, "GET", "/look/1", key="key-mark").status == 200, "the newest version")
+        check(ask(host.callers, "GET", "/look/1", key="key-n").status == 401, "an older version came back")
+    world.publish(ROUTES, ACCOUNTS)
+    for host in world.hosts:
+        wait_until(lambda host=host: ask(host.callers, "GET", "/look/1").status == 200, "the old key")
+
+
+def leaving_server_gets_no_new_work(world):
+    leaving = Backend(world.store, "i-leaving", "desk", "a")
+    world.backends.append(leaving)
+    wait_until(lambda: ask(world.hosts[0].callers, "GET", "/look/1").status == 200 and leaving.runs, "the new server to get work")
+    leaving.drain()
+    seen = {}
+
+    def rests():
+        before = len(leaving.runs)
+        for host in world.hosts:
+            for _ in range(20):
+                ask(host.callers, "GET", "/look/1")
+        seen["rests"] = len(leaving.runs) == before
+        return seen["rests"]
+
+    wait_until(rests, "the leaving server to rest")
+    check(rests(), "the leaving server got work again")
+    leaving.leave()
+    world.backends.remove(leaving)
+
+
+def store_outages_stop_nothing(world):
+    for mode in ("busy", "reset", "silent"):
+        world.store.mode = mode
+        calls = len(world.store.calls)
+        wait_until(lambda calls=calls: len(world.store.calls) > calls + 3, f"hosts to notice {mode}")
+        for host in world.hosts:
+            check(ask(host.callers, "GET", "/look/1").status == 200, f"{mode}: not served")
+        world.store.mode = "up"
+    world.store.forget("keyed.op")
+    world.store.forget("keyed.servers")
+    world.publish(ROUTES + [("/after/", "idempotent", "desk", 3, 3, False)], ACCOUNTS)
+    for host in world.hosts:
+        wait_until(lambda host=host: ask(host.callers, "GET", "/after/1").status == 200, "news after the outage")
+
+
+def host_that_knows_nothing_says_so(world):
+    world.store.mode = "busy"
+    lonely = Gateway("lonely", "b", world.store, world.directory, os.path.join(ROOT, "build"))
+    world.hosts.append(lonely)
+    wait_until(lambda: ask(lonely.callers, "GET", "/look/1").status == 503, "the truth")
+    check(not lonely.ready(), "ready without a configuration")
+    world.store.mode = "up"
+    lonely.await_ready()
+    wait_until(lambda: ask(lonely.callers, "GET", "/look/1").status == 200, "service")
+
+
+def planned_stop_cuts_nothing(world):
+    host = world.hosts.pop()
+    world.behave("slow")
+    answers = []
+    ended = threading.Event()
+
+    def call_on():
+        with Caller(host.callers) as caller:
+            while True:
+                caller.send("POST", "/book/1")
+                answer = caller.receive()
+                answers.append(answer)
+                if answer is None or answer.headers.get("Connection") == "close":
+                    break
+        ended.set()
+
+    thread = threading.Thread(target=call_on)
+    thread.start()
+    wait_until(lambda: answers, "a first answer")
+    host.process.terminate()
+    check(host.process.wait() == 0, "exit code")
+    thread.join()
+    check(all(answer and answer.status == 200 for answer in answers), f"{[answer and answer.status for answer in answers]}")
+    check(any("event=host-stopped" in line for line in host.log_lines()), "no line tells of the stop")
+    world.behave("good")
+
+
+def refused_request_is_told_in_the_log(world):
+    answer = ask(world.hosts[0].callers, "GET", "/nowhere/2")
+    wait_until(lambda: any(f"request={answer.request_id}" in line and "code=no-route" in line for line in world.hosts[0].log_lines()),
+               "the line of the refused request")
+
+
+CASES = [request_is_served_for_its_account, wrong_keys_and_paths_are_refused, pipelined_requests_are_answered_in_order,
+         broken_answers_are_never_passed_on, repeatable_request_survives_a_failing_server,
+         shed_booking_goes_to_another_server_or_is_said_not_to_have_run, surplus_answers_reach_nobody, answer_without_length_is_whole,
+         booking_past_its_time_ends_and_is_not_repeated, account_above_its_rate_is_refused_on_all_hosts_together,
+         configuration_and_key_changes_reach_all_hosts, leaving_server_gets_no_new_work, refused_request_is_told_in_the_log,
+         store_outages_stop_nothing, host_that_knows_nothing_says_so, planned_stop_cuts_nothing]
+
+
+def main():
+    failed = 0
+    world = World()
+    try:
+        for case in CASES:
+            if len(sys.argv) > 1 and case.__name__ not in sys.argv[1:]:
+                continue
+            try:
+                case(world)
+                print(f"passed {case.__name__}", flush=True)
+            except Exception as error:  # pylint: disable=broad-except
+                failed += 1
+                print(f"FAILED {case.__name__}: {error!r}", flush=True)
+                world.behave("good")
+                world.store.mode = "up"
+    finally:
+        world.close()
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
