Failures of backend servers are told through the fleet at once; answers under way are not given up on a planned stop

New: warnings within milliseconds through the relays, suspicion that keeps bookings away. Only first relays read the store and cross zones. Not measured yet.

--- a/packages/exchange/lacewingsail/Exchange.h
+++ b/packages/exchange/lacewingsail/Exchange.h
@@ -14,3 +14,4 @@
 #include "src/Exchange/AccountTokens.h"
 #include "src/Exchange/FleetExchange.h"
 #include "src/Exchange/GatewayCalls.h"
+#include "src/Exchange/ServerWarnings.h"
--- a/packages/exchange/lacewingsail/src/Exchange/AccountTokens.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountTokens.cpp
@@ -51,6 +51,8 @@
     std::size_t rank = 0;
     while (rank < ranked.size() && ranked[rank]->id != m_directory.self().id)
         ++rank;
+    if (rank > 0 && m_verify)
+        m_verify(*ranked.front());
     return drawHere(*found->second, demand.wanted, PoolRank { rank });
 }
 
--- a/packages/exchange/lacewingsail/src/Exchange/AccountTokens.h
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountTokens.h
@@ -23,6 +23,9 @@
     /// \brief Sets the calls to other hosts; without them every account is kept here.
     void connect(GatewayCalls& calls) { m_calls = &calls; }
 
+    /// \brief Sets how to find out whether a host still lives that another one has passed over as keeper.
+    void verifyKeepersBy(std::function<void(const LiveHost&)> verify) { m_verify = std::move(verify); }
+
     /// \brief Takes one token of \p account, which has a rate.
     /// \param answer called once, at once or later: granted 1, or when to come back.
     void take(const ClientAccount& account, Answer answer);
@@ -48,6 +51,7 @@
     ActiveConfiguration& m_active;
     const Clock& m_clock;
     GatewayCalls* m_calls = nullptr;
+    std::function<void(const LiveHost&)> m_verify;
     std::map<ClientAccountId, Local> m_accounts;
 };
 
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -6,8 +6,9 @@
 
 namespace internal {
 
-    // Four exchanges, and one more through a second relay: a host that is frozen for less keeps its duties.
-    constexpr std::chrono::milliseconds silenceBound { 2500 };
+    // Two lists of hosts and the exchanges on their way: a host that is frozen for less keeps its duties. Those that call
+    // a host which does not answer avoid it at once.
+    constexpr std::chrono::milliseconds silenceBound { 5000 };
     // Long enough for a host that restarts, short enough to come back to a relay after a cut.
     constexpr std::chrono::milliseconds avoidance { 1500 };
     constexpr std::chrono::seconds directoryMemory { 60 };
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -12,6 +12,8 @@
     constexpr std::chrono::seconds acquaintance { 4 };
     // Older knowledge makes a host ask the second relay too.
     constexpr std::chrono::milliseconds staleKnowledge { 1200 };
+    // Exchanges from one list of hosts to the next. Hosts that do not answer are noticed by those that call them.
+    constexpr std::size_t hostListTicks = 4;
 
     std::chrono::milliseconds since(MonotonicTime now, MonotonicTime then)
     {
@@ -41,6 +43,23 @@
     return std::ranges::any_of(relays, [&](const LiveHost* host) { return host->id == self.id; });
 }
 
+bool FleetExchange::isFirstRelay() const
+{
+    const auto live = m_parts.directory.live(m_parts.clock.now());
+    const auto relays = relaysOf(live, m_parts.directory.self().zone);
+    return !relays.empty() && relays.front()->id == m_parts.directory.self().id;
+}
+
+void FleetExchange::ask(const LiveHost& host)
+{
+    const MonotonicTime now = m_parts.clock.now();
+    MonotonicTime& askedAt = m_asked[host.id];
+    if (now - askedAt < interval)
+        return;
+    askedAt = now;
+    call(host.peers, false);
+}
+
 bool FleetExchange::isStale() const
 {
     const MonotonicTime now = m_parts.clock.now();
@@ -59,19 +78,19 @@
             targets.push_back(endpoint);
     };
     const auto relays = relaysOf(live, self.zone);
-    const bool relay = std::ranges::any_of(relays, [&](const LiveHost* host) { return host->id == self.id; });
+    const bool first = !relays.empty() && relays.front()->id == self.id;
     for (std::size_t rank = 0; rank < relays.size(); ++rank) {
-        if (rank == 0 || relay || isStale())
+        if (rank == 0 || first || isStale())
             add(relays[rank]->peers);
     }
-    if (relay) {
-        std::set<ZoneId> zones;
-        for (const LiveHost& host : live)
-            zones.insert(host.zone);
-        for (const ZoneId& zone : zones) {
-            for (const LiveHost* host : relaysOf(live, zone))
-                add(host->peers);
-        }
+    std::set<ZoneId> zones;
+    for (const LiveHost& host : live)
+        zones.insert(host.zone);
+    // Bytes between zones are dear: only first relays cross them, unless the own zone has no news.
+    for (const ZoneId& zone : zones) {
+        const auto others = relaysOf(live, zone);
+        if (first || (isRelay() && isStale()))
+            add(others.front()->peers);
     }
     if (live.size() <= 1 || now - m_startedAt < internal::acquaintance) {
         for (const Endpoint& seed : m_parts.seeds)
@@ -86,8 +105,9 @@
         return;
     m_parts.uses.reportOwn(m_parts.ownUse(), m_parts.clock.now());
     m_parts.directory.forgetSilent(m_parts.clock.now());
+    const bool withHosts = m_ticks++ % internal::hostListTicks == 0 || m_parts.clock.now() - m_startedAt < internal::acquaintance;
     for (const Endpoint& target : targets())
-        call(target);
+        call(target, withHosts);
 }
 
 void FleetExchange::fillNews(const Known& known, protocol::FleetNews& news) const
@@ -167,14 +187,15 @@
         m_parts.changed();
 }
 
-void FleetExchange::call(const Endpoint& target)
+void FleetExchange::call(const Endpoint& target, bool withHosts)
 {
     auto request = std::make_unique<protocol::ExchangeRequest>();
     const MonotonicTime now = m_parts.clock.now();
     fillNews(m_known[target], *request->mutable_news());
     fillHosts(*request);
-    if (!isRelay())
+    if (!isRelay() || !withHosts)
         request->clear_hosts();
+    request->set_wants_hosts(withHosts);
     internal::encode(m_parts.ownUse(), *request->mutable_use());
     if (isRelay()) {
         for (const ZoneUse& zone : m_parts.uses.zones(now)) {
@@ -211,6 +232,8 @@
         m_parts.uses.sumsOf(internal::decode(zone, now), now);
     fillNews({ ConfigurationVersion { request.news().configuration_version() }, LogOffset { request.news().servers_end() } }, *reply.mutable_news());
     fillHosts(reply);
+    if (!request.wants_hosts())
+        reply.clear_hosts();
     for (const ZoneUse& zone : m_parts.uses.zones(now))
         internal::encode(zone, now, *reply.add_zones());
 }
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -43,8 +43,11 @@
     /// \brief Answers another host.
     void answer(const protocol::ExchangeRequest&, protocol::ExchangeReply&);
 
-    /// \returns whether this host is a relay of its availability zone.
-    bool isRelay() const;
+    /// \returns whether this host is the first relay of its availability zone, which reads the store for the others.
+    bool isFirstRelay() const;
+
+    /// \brief Asks a host that another one believes to be silent, unless it was asked a moment ago.
+    void ask(const LiveHost&);
 
     /// \brief Time between two exchanges: two of them and a read of the store fit into the operators' bound of 2 s.
     static constexpr std::chrono::milliseconds interval { 500 };
@@ -56,8 +59,9 @@
         LogOffset serversEnd {};
     };
 
+    bool isRelay() const;
     std::vector<Endpoint> targets() const;
-    void call(const Endpoint&);
+    void call(const Endpoint&, bool withHosts);
     void fillNews(const Known&, protocol::FleetNews&) const;
     void takeNews(const protocol::FleetNews&);
     template <typename Message>
@@ -69,6 +73,8 @@
     FleetExchangeParts m_parts;
     GatewayCalls* m_calls = nullptr;
     MonotonicTime m_startedAt;
+    std::size_t m_ticks = 0;
+    std::map<HostId, MonotonicTime> m_asked;
     std::map<Endpoint, Known> m_known;
 };
 
--- a/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
@@ -6,6 +6,7 @@
 class FleetDirectory;
 class FleetExchange;
 class GatewayCalls;
+class ServerWarnings;
 class UseBook;
 
 namespace protocol {
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <system_error>
+#include <vector>
 
 namespace lacewingsail {
 
@@ -17,6 +18,18 @@
     int wanted = 1;
 };
 
+/// \brief A backend server that failed, and how long ago.
+struct ServerFailure {
+    BackendServerId server;
+    std::chrono::milliseconds age { 0 };
+};
+
+/// \brief What a host tells others of failures.
+struct FailureNews {
+    HostId sender;
+    std::vector<ServerFailure> failures;
+};
+
 /// \brief The calls between gateway hosts, over gRPC. All callbacks come on the thread of the event loop.
 class GatewayCalls {
 public:
@@ -26,6 +39,7 @@
     /// \brief How this host answers the others.
     struct Handlers {
         std::function<void(const protocol::ExchangeRequest&, protocol::ExchangeReply&)> exchange;
+        std::function<void(const FailureNews&)> warning;
         /// Nothing if the account is not known here.
         std::function<std::optional<DrawResult>(const TokenDemand&)> tokens;
     };
@@ -42,6 +56,9 @@
     /// \brief Draws tokens from another host. The answer is empty if it did not come in time or the account is unknown there.
     void takeTokens(const Endpoint&, const TokenDemand&, TokenAnswer);
 
+    /// \brief Tells another host of failures; whether it arrives does not matter.
+    void warn(const Endpoint&, const FailureNews&);
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace lacewingsail::internal {
@@ -43,6 +44,10 @@
     int failuresInRow = 0;
     /// It said that it is full, or that it is another server.
     MonotonicTime fullUntil {};
+    /// What failures at any host make of it.
+    Suspicion suspicion;
+    /// When each request under way began, oldest first.
+    std::multiset<MonotonicTime> begun;
     std::deque<UpstreamConnectionPtr> idle;
 
     /// \returns the use by all hosts.
@@ -74,6 +79,12 @@
     /// \returns the smoothed time to answer of a service's servers, over all hosts; zero if not known.
     std::chrono::milliseconds usualAnswer(const ServiceId&) const;
 
+    /// \brief Notes a failure of a server that another host has seen.
+    void noteFailureElsewhere(const BackendServerId&, MonotonicTime failedAt);
+
+    /// \returns servers that have kept a request of this host waiting for far longer than usual. Allocates.
+    std::vector<BackendServerId> overdue() const;
+
     /// \brief Lets the own counts of one server fade until now.
     void fadeOwn(BackendState&) const;
 
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -51,10 +51,11 @@
     FleetDirectory directory { LiveHost { settings.id, settings.zone, settings.peers } };
     UseBook uses { settings.id, settings.zone };
     AccountTokens tokens { directory, active, clock };
+    ServerWarnings warnings { directory, loop, clock, [this](const BackendServerId& id, MonotonicTime failedAt) { backends.noteFailureElsewhere(id, failedAt); } };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, uses, settings.seeds, [this] { return backends.ownUse(); }, [this] { stateChanged(); } } };
     std::map<ServiceId, RetryAllowance> retries;
-    internal::RequestServices services { settings, parts.names, clock, loop.context(), active, follower, directory, tokens, backends, metrics, retries, random };
     internal::CallerConnections connections;
+    internal::RequestServices services { settings, parts.names, clock, loop.context(), active, follower, directory, tokens, warnings, backends, metrics, retries, random, connections.draining };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
@@ -82,12 +83,15 @@
     std::error_code error;
     GatewayCalls::Handlers handlers;
     handlers.exchange = [this](const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply) { exchange.answer(request, reply); };
+    handlers.warning = [this](const FailureNews& news) { warnings.take(news); };
     handlers.tokens = [this](const TokenDemand& demand) { return tokens.give(demand); };
     calls = std::make_unique<GatewayCalls>(loop, settings.peers, std::move(handlers), error);
     if (error)
         return error;
     exchange.connect(*calls);
     tokens.connect(*calls);
+    tokens.verifyKeepersBy([this](const LiveHost& keeper) { exchange.ask(keeper); });
+    warnings.connect(*calls);
     readiness = std::make_unique<HttpServer>(
         settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error);
     if (error)
@@ -141,7 +145,11 @@
 
 void GatewayHost::Implementation::followStore()
 {
-    follower.tick(exchange.isRelay() ? ReadingDuty::Reader : ReadingDuty::Listener);
+    follower.tick(exchange.isFirstRelay() ? ReadingDuty::Reader : ReadingDuty::Listener);
+    for (const BackendServerId& id : backends.overdue()) {
+        backends.noteFailureElsewhere(id, clock.now());
+        warnings.raise(id);
+    }
     loop.after(StoreFollower::tickInterval, [this] { followStore(); });
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -25,6 +25,8 @@
     // A stall is not assumed before this many times the usual time to answer.
     constexpr int usualAnswers = 3;
     constexpr std::chrono::milliseconds leastPatience { 400 };
+    // The final answer needs this long to its caller: several times the way to the callers, and a slow host's own work.
+    constexpr std::chrono::milliseconds answerMargin { 40 };
     // Requests for each slot, queued ones included, up to which a server gets more: with the users' work times a queue of
     // this length is worked off within the latency objective.
     constexpr double mostFillUrgent = 2.2;
@@ -84,12 +86,12 @@
 
     void setDeadline(const RequestServices& services, RequestState& request)
     {
-        request.deadline = request.arrivedAt + request.route->deadline;
+        request.deadline = request.arrivedAt + request.route->deadline - answerMargin;
         const auto field = request.message[services.names.deadline];
         std::int64_t milliseconds = 0;
         const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
         if (!field.empty() && error == std::errc {} && milliseconds >= 0)
-            request.deadline = std::min(request.deadline, request.arrivedAt + std::chrono::milliseconds(milliseconds));
+            request.deadline = std::min(request.deadline, request.arrivedAt + std::chrono::milliseconds(milliseconds) - answerMargin);
     }
 
     net::awaitable<DrawResult> takeToken(RequestServices& services, const ClientAccount& account)
@@ -117,6 +119,7 @@
             sight.slowness = use.answerMilliseconds / use.answered / static_cast<double>(usual.count());
         sight.sameZone = state.server.zone == services.settings.zone;
         sight.warmingUp = now < state.warmUntil;
+        sight.suspect = isSuspect(state.suspicion, now);
         sight.unreachable = now < state.avoidUntil;
         sight.full = now < state.fullUntil;
         sight.tried = std::ranges::find(request.tried, state.server.id) != request.tried.end();
@@ -138,8 +141,12 @@
         for (const BackendStatePtr& state : states)
             sights.push_back(sightOf(services, request, *state, usual));
         std::uniform_real_distribution<double> uniform(0, 1);
-        const PlacementTerms terms = termsOf(services, request);
+        PlacementTerms terms = termsOf(services, request);
         auto position = place(sights, terms, uniform(services.random));
+        if (!position) {
+            terms.mayUseSuspects = true;
+            position = place(sights, terms, uniform(services.random));
+        }
         if (!position) {
             // Better an uncertain way than none.
             for (ServerSight& sight : sights)
@@ -149,17 +156,6 @@
         return position ? states[*position] : nullptr;
     }
 
-    MonotonicTime attemptEnd(const RequestServices& services, const RequestState& request)
-    {
-        const MonotonicTime now = services.clock.now();
-        const int attemptsLeft = request.route->mostAttempts - static_cast<int>(request.sentTo.size());
-        if (!request.route->repeatable || attemptsLeft <= 1)
-            return request.deadline;
-        const auto share = std::chrono::duration_cast<Duration>((request.deadline - now) * patience);
-        const Duration usual = services.backends.usualAnswer(request.service) * usualAnswers;
-        return std::min(request.deadline, now + std::max({ share, usual, Duration(leastPatience) }));
-    }
-
     bool isFinal(const RequestState& request, const AttemptReport& report)
     {
         if (report.end == AttemptEnd::Answered)
@@ -178,6 +174,22 @@
         return take(services.retries[request.service], terms, services.clock.now());
     }
 
+    // An answer that is under way is only given up if another server is to be asked in its place: silence alone is no
+    // reason to end a request sooner, least of all on a planned stop.
+    AttemptPatience patienceFor(RequestServices& services, const std::shared_ptr<RequestState>& request, const RetryTerms& terms)
+    {
+        const MonotonicTime now = services.clock.now();
+        const auto share = std::chrono::duration_cast<Duration>((request->deadline - now) * patience);
+        const Duration usual = services.backends.usualAnswer(request->service) * usualAnswers;
+        AttemptPatience result { now + std::max({ share, usual, Duration(leastPatience) }), nullptr };
+        if (!request->route->repeatable || result.stalledAt >= request->deadline)
+            return result;
+        result.giveUp = [&services, request, terms] {
+            return !services.draining && choose(services, *request) && mayTryAgain(services, *request, terms);
+        };
+        return result;
+    }
+
     // The last attempt that may have run decides what can still be promised.
     RequestEnd endOf(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode last)
     {
@@ -196,13 +208,15 @@
         earn(services.retries[request->service], terms, services.clock.now());
         std::optional<AttemptReport> best;
         ResultCode last = services.backends.of(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded;
+        bool paid = true;
         for (int connections = 0; connections < mostConnections; ++connections) {
             BackendStatePtr server = choose(services, *request);
-            if (!server || (connections > 0 && !mayTryAgain(services, *request, terms)))
+            if (!server || (!paid && !mayTryAgain(services, *request, terms)))
                 break;
             request->tried.push_back(server->server.id);
-            AttemptReport report = co_await attempt(services, request, server, attemptEnd(services, *request));
+            AttemptReport report = co_await attempt(services, request, server, patienceFor(services, request, terms));
             last = report.code;
+            paid = report.givenUp;
             const bool final = isFinal(*request, report);
             // An answer of the server's own is better than none; "may have run" is never forgotten.
             if (report.end == AttemptEnd::Answered || (report.end == AttemptEnd::Unknown && !best))
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -26,10 +26,13 @@
     StoreFollower& follower;
     FleetDirectory& directory;
     AccountTokens& tokens;
+    ServerWarnings& warnings;
     BackendTable& backends;
     Metrics& metrics;
     std::map<ServiceId, RetryAllowance>& retries;
     std::mt19937_64& random;
+    /// Set while the host is on a planned stop.
+    const bool& draining;
 };
 
 /// \brief A request from its arrival to its answer.
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
@@ -31,17 +31,49 @@
     /// \brief Counts a request as under way at a server for as long as it exists.
     class InFlight {
     public:
-        explicit InFlight(BackendStatePtr state)
+        InFlight(BackendStatePtr state, MonotonicTime now)
             : m_state(std::move(state))
+            , m_begun(m_state->begun.insert(now))
         {
             m_state->own.inFlight += 1;
         }
-        ~InFlight() { m_state->own.inFlight -= 1; }
+        ~InFlight()
+        {
+            m_state->own.inFlight -= 1;
+            m_state->begun.erase(m_begun);
+        }
         InFlight(const InFlight&) = delete;
         InFlight& operator=(const InFlight&) = delete;
 
     private:
         BackendStatePtr m_state;
+        std::multiset<MonotonicTime>::iterator m_begun;
+    };
+
+    /// \brief Asks whether to give up an attempt once it is stalled.
+    class StallWatch {
+    public:
+        StallWatch(RequestServices& services, const UpstreamConnectionPtr& connection, AttemptPatience patience)
+            : m_timer(services.context)
+            , m_gaveUp(std::make_shared<bool>(false))
+        {
+            if (!patience.giveUp)
+                return;
+            m_timer.expires_at(patience.stalledAt);
+            m_timer.async_wait([weak = std::weak_ptr(connection), gaveUp = m_gaveUp, giveUp = std::move(patience.giveUp)](const boost::system::error_code& error) {
+                const auto open = weak.lock();
+                if (error || !open || !giveUp())
+                    return;
+                *gaveUp = true;
+                open->stream.cancel();
+            });
+        }
+
+        bool gaveUp() const { return *m_gaveUp; }
+
+    private:
+        net::steady_timer m_timer;
+        std::shared_ptr<bool> m_gaveUp;
     };
 
     bool mayRepeat(const RequestState& request) { return request.route->repeatable; }
@@ -164,8 +196,11 @@
         if (end == AttemptEnd::Answered && status < 500) {
             server.own.answered += 1;
             server.own.answerMilliseconds += took.count();
+            noteSuccess(server.suspicion, begunAt);
         } else if (end != AttemptEnd::NotRun) {
             server.own.failed += 1;
+            noteFailure(server.suspicion, services.clock.now());
+            services.warnings.raise(server.server.id);
         }
     }
 
@@ -200,6 +235,8 @@
             return { AttemptEnd::Unknown, ResultCode::UpstreamWrongAnswer, {} };
         }
         noteOutcome(services, server, AttemptEnd::Answered, answer.result_int(), begunAt);
+        if (answer.result_int() >= 500)
+            log(Event("server-failed").with("request", request.id).with("server", server.server.id).with("status", static_cast<long long>(answer.result_int())));
         return { AttemptEnd::Answered, ResultCode::Ok, std::move(answer) };
     }
 
@@ -218,9 +255,10 @@
 
 } // namespace
 
-net::awaitable<AttemptReport> attempt(RequestServices& services, std::shared_ptr<RequestState> request, BackendStatePtr server, MonotonicTime until)
+net::awaitable<AttemptReport> attempt(RequestServices& services, std::shared_ptr<RequestState> request, BackendStatePtr server, AttemptPatience patience)
 {
-    const InFlight inFlight(server);
+    const MonotonicTime until = request->deadline;
+    const InFlight inFlight(server, services.clock.now());
     const Duration mostIdle = mayRepeat(*request) ? Duration(keptConnection) : Duration(provenConnection);
     UpstreamConnectionPtr connection = takeIdle(*server, services.clock.now(), mostIdle);
     if (!connection)
@@ -244,12 +282,15 @@
     const auto message = std::make_shared<RequestMessage>(messageFor(services, *request, *server));
     const auto written = std::make_shared<bool>(false);
     http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
+    StallWatch watch(services, connection, std::move(patience));
     boost::system::error_code error;
     auto whole = co_await readOwnAnswer(services, *request, *connection, error);
     request->cancelAttempt = nullptr;
     if (error || !whole) {
         connection->stream.close();
-        co_return brokenOff(services, *request, *server, error, begunAt);
+        AttemptReport report = brokenOff(services, *request, *server, watch.gaveUp() ? beast::error::timeout : error, begunAt);
+        report.givenUp = watch.gaveUp();
+        co_return report;
     }
     const bool reusable = whole->keepsConnection && *written && connection->buffer.size() == 0;
     if (reusable)
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.h
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.h
@@ -21,10 +21,20 @@
     AttemptEnd end = AttemptEnd::NotSent;
     ResultCode code = ResultCode::ConnectFailed;
     AnswerMessage answer;
+    /// It was given up for another server.
+    bool givenUp = false;
+};
+
+/// \brief How long an attempt waits for an answer.
+struct AttemptPatience {
+    /// When it counts as stalled.
+    MonotonicTime stalledAt {};
+    /// Called once it is stalled: whether it is to be given up for another server. Otherwise it waits until the request's
+    /// deadline.
+    std::function<bool()> giveUp;
 };
 
 /// \brief Sends the request to one backend server and reads its whole answer.
-/// \param until when the attempt is given up.
-net::awaitable<AttemptReport> attempt(RequestServices&, std::shared_ptr<RequestState>, BackendStatePtr, MonotonicTime until);
+net::awaitable<AttemptReport> attempt(RequestServices&, std::shared_ptr<RequestState>, BackendStatePtr, AttemptPatience);
 
 } // namespace lacewingsail::internal
--- a/packages/policy/lacewingsail/src/Policy/Placement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Placement.cpp
@@ -17,6 +17,8 @@
     constexpr double failingShare = 0.3;
     // What a failing server still gets of the requests that may be repeated, so that its recovery is seen.
     constexpr double trialWeight = 0.06;
+    // The same for a suspect server: its first success or further failure should be seen within about a second.
+    constexpr double suspectWeight = 0.15;
     // Failures weigh this many times: two servers at 0 and 20 percent differ by more than their success rates.
     constexpr double failurePower = 6;
 
@@ -48,6 +50,11 @@
             weight *= farWeight;
         if (server.warmingUp)
             weight *= warmupWeight;
+        if (server.suspect && !terms.mayUseSuspects) {
+            if (!terms.mayTryFailing)
+                return 0;
+            weight *= suspectWeight;
+        }
         if (avoidFailing && isFailing(server))
             return terms.mayTryFailing ? weight * trialWeight : 0;
         return weight;
--- a/packages/policy/lacewingsail/src/Policy/Placement.h
+++ b/packages/policy/lacewingsail/src/Policy/Placement.h
@@ -21,6 +21,8 @@
     double slowness = 1;
     bool sameZone = false;
     bool warmingUp = false;
+    /// It failed a request of any host a moment ago.
+    bool suspect = false;
     /// This host failed to reach it a moment ago.
     bool unreachable = false;
     /// It said a moment ago that it is full.
@@ -36,6 +38,8 @@
     double floorShare = 0.7;
     /// Whether the request may run again after a failure, so that it can try a server that failed.
     bool mayTryFailing = false;
+    /// Whether suspect servers may get it like others, since no other server has room.
+    bool mayUseSuspects = false;
 };
 
 /// \brief Chooses a backend server at random, in proportion to its free capacity.
--- a/scripts/fleet/users_platform.py
+++ b/scripts/fleet/users_platform.py
@@ -148,7 +148,7 @@
 
 
 class Backend:
-    """A backend server that registers itself. `behaviour` is good, error, slow, large, hang, reset, truncate, extra,
+    """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
     unframed, unsigned or shed; `runs` lists (id, account, path, key seen) of every request that it ran."""
 
     def __init__(self, store, name, service, zone):
@@ -215,6 +215,8 @@
                     time.sleep(SILENCE_S)
                 if behaviour == "slow":
                     time.sleep(0.6)
+                if behaviour == "slower":
+                    time.sleep(1.4)
                 if behaviour == "large":
                     answer = b"x" * LARGE_BYTES
                 if behaviour == "error":
