--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -12,9 +12,6 @@
     constexpr std::chrono::milliseconds firstAvoidance { 600 };
     constexpr std::chrono::milliseconds longestAvoidance { 4000 };
     constexpr int mostDoublings = 3;
-    // A request that waits for this many usual answers is most likely stuck; work times spread by less.
-    constexpr int overdueAnswers = 4;
-    constexpr std::chrono::milliseconds leastOverdue { 800 };
 
     // A closed connection reads as its end; a surplus answer reads as data. Neither may be used again.
     bool isQuiet(UpstreamConnection& connection)
@@ -116,20 +113,6 @@
         noteFailure(found->second->suspicion, failedAt);
 }
 
-std::vector<BackendServerId> BackendTable::overdue() const
-{
-    const MonotonicTime now = m_clock.now();
-    std::vector<BackendServerId> servers;
-    for (const auto& [id, state] : m_servers) {
-        if (state->begun.empty())
-            continue;
-        const Duration bound = std::max(Duration(usualAnswer(state->server.service)) * overdueAnswers, Duration(leastOverdue));
-        if (now - *state->begun.begin() >= bound)
-            servers.push_back(id);
-    }
-    return servers;
-}
-
 void BackendTable::closeIdle()
 {
     const MonotonicTime now = m_clock.now();
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 namespace lacewingsail::internal {
@@ -46,8 +45,6 @@
     MonotonicTime fullUntil {};
     /// What failures at any host make of it.
     Suspicion suspicion;
-    /// When each request under way began, oldest first.
-    std::multiset<MonotonicTime> begun;
     std::deque<UpstreamConnectionPtr> idle;
 
     /// \returns the use by all hosts.
@@ -82,9 +79,6 @@
     /// \brief Notes a failure of a server that another host has seen.
     void noteFailureElsewhere(const BackendServerId&, MonotonicTime failedAt);
 
-    /// \returns servers that have kept a request of this host waiting for far longer than usual. Allocates.
-    std::vector<BackendServerId> overdue() const;
-
     /// \brief Lets the own counts of one server fade until now.
     void fadeOwn(BackendState&) const;
 
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -146,10 +146,6 @@
 void GatewayHost::Implementation::followStore()
 {
     follower.tick(exchange.isFirstRelay() ? ReadingDuty::Reader : ReadingDuty::Listener);
-    for (const BackendServerId& id : backends.overdue()) {
-        backends.noteFailureElsewhere(id, clock.now());
-        warnings.raise(id);
-    }
     loop.after(StoreFollower::tickInterval, [this] { followStore(); });
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
@@ -14,8 +14,8 @@
     constexpr std::uint64_t largestAnswer = 64 * 1024 * 1024;
     // Many round trips between zones (2 ms) and a few times what opening a connection to a full server takes.
     constexpr std::chrono::milliseconds connectTimeout { 250 };
-    // Unacknowledged bytes for this long mean that the way to the server is cut.
-    constexpr unsigned unacknowledgedMilliseconds = 1200;
+    // Unacknowledged bytes for this long mean that the way to the server is cut: two retransmissions were lost too.
+    constexpr unsigned unacknowledgedMilliseconds = 700;
     // A request that may not be repeated goes over a connection whose both ways have just worked, or over a new one.
     constexpr std::chrono::milliseconds provenConnection { 500 };
     constexpr std::chrono::seconds keptConnection { 30 };
@@ -31,23 +31,17 @@
     /// \brief Counts a request as under way at a server for as long as it exists.
     class InFlight {
     public:
-        InFlight(BackendStatePtr state, MonotonicTime now)
+        explicit InFlight(BackendStatePtr state)
             : m_state(std::move(state))
-            , m_begun(m_state->begun.insert(now))
         {
             m_state->own.inFlight += 1;
         }
-        ~InFlight()
-        {
-            m_state->own.inFlight -= 1;
-            m_state->begun.erase(m_begun);
-        }
+        ~InFlight() { m_state->own.inFlight -= 1; }
         InFlight(const InFlight&) = delete;
         InFlight& operator=(const InFlight&) = delete;
 
     private:
         BackendStatePtr m_state;
-        std::multiset<MonotonicTime>::iterator m_begun;
     };
 
     /// \brief Asks whether to give up an attempt once it is stalled.
@@ -196,7 +190,6 @@
         if (end == AttemptEnd::Answered && status < 500) {
             server.own.answered += 1;
             server.own.answerMilliseconds += took.count();
-            noteSuccess(server.suspicion, begunAt);
         } else if (end != AttemptEnd::NotRun) {
             server.own.failed += 1;
             noteFailure(server.suspicion, services.clock.now());
@@ -244,10 +237,11 @@
     {
         const bool timedOut = error == beast::error::timeout;
         if (!request.callerGone) {
-            noteOutcome(services, server, AttemptEnd::Unknown, 0, begunAt);
-            // Only what this host does not hear from the server says something about the way to it.
-            if (timedOut)
+            // Bytes that the server did not acknowledge say something about the way to it, not about the server.
+            if (error == boost::system::errc::timed_out)
                 noteUnreachable(server, services.clock.now());
+            else
+                noteOutcome(services, server, AttemptEnd::Unknown, 0, begunAt);
             log(Event("attempt-failed").with("request", request.id).with("server", server.server.id).with("reason", error.message()).with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - begunAt).count()));
         }
         return { AttemptEnd::Unknown, timedOut ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken, {} };
@@ -258,7 +252,7 @@
 net::awaitable<AttemptReport> attempt(RequestServices& services, std::shared_ptr<RequestState> request, BackendStatePtr server, AttemptPatience patience)
 {
     const MonotonicTime until = request->deadline;
-    const InFlight inFlight(server, services.clock.now());
+    const InFlight inFlight(server);
     const Duration mostIdle = mayRepeat(*request) ? Duration(keptConnection) : Duration(provenConnection);
     UpstreamConnectionPtr connection = takeIdle(*server, services.clock.now(), mostIdle);
     if (!connection)
