--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -12,6 +12,9 @@
     constexpr std::chrono::milliseconds firstAvoidance { 600 };
     constexpr std::chrono::milliseconds longestAvoidance { 4000 };
     constexpr int mostDoublings = 3;
+    // Part of the earlier sight of other hosts' requests that stays with each exchange: one sight is mostly chance, as
+    // requests last no longer than it is old.
+    constexpr double loadMemory = 0.5;
 
     // A closed connection reads as its end; a surplus answer reads as data. Neither may be used again.
     bool isQuiet(UpstreamConnection& connection)
@@ -66,7 +69,9 @@
 {
     for (const auto& [id, state] : m_servers) {
         const auto found = others.find(id);
+        const double before = state->others.inFlight;
         state->others = found == others.end() ? ServerUse {} : found->second;
+        state->others.inFlight += (before - state->others.inFlight) * loadMemory;
     }
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -29,8 +29,8 @@
     constexpr std::chrono::milliseconds answerMargin { 40 };
     // Requests for each slot, queued ones included, up to which a server gets more: with the users' work times a queue of
     // this length is worked off within the latency objective.
-    constexpr double mostFillUrgent = 2.2;
-    constexpr double mostFillOther = 1.8;
+    constexpr double mostFillUrgent = 1.8;
+    constexpr double mostFillOther = 1.5;
     constexpr Priority urgent { 1 };
 
     std::chrono::milliseconds sometime(RequestServices& services, std::chrono::milliseconds least)
--- a/packages/policy/lacewingsail/src/Policy/Placement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Placement.cpp
@@ -11,6 +11,8 @@
     // are equally free, which keeps the sight of the far ones fresh.
     constexpr double farWeight = 0.25;
     constexpr double warmupWeight = 0.3;
+    // Preference for a server whose slots are all busy, against an empty one.
+    constexpr double fullRoom = 0.1;
     // Outcomes below this are too few to call a server failing.
     constexpr double leastOutcomes = 2;
     // Share of failures from which a server counts as failing; twenty times the users' base rate of errors.
@@ -42,9 +44,10 @@
         if (!mayServe(server) || server.load >= terms.mostFill * capacity(server))
             return 0;
         const double fill = server.load / capacity(server);
-        // Queued requests wait: beyond the slots a server is hardly chosen while others have free ones.
-        const double room = fill < 1 ? 1.05 - fill : 0.05 / (fill * fill);
-        double weight = capacity(server) * room * room;
+        // Linear in the free share: the load is as old as a request lasts, so that a steeper preference would send all hosts
+        // to the servers that were empty a moment ago. Beyond its slots a server is hardly chosen while others have free ones.
+        const double room = fill < 1 ? fullRoom + (1 - fullRoom) * (1 - fill) : fullRoom / (fill * fill);
+        double weight = capacity(server) * room;
         weight *= std::pow(1 - std::min(server.failedShare, 0.95) * (server.outcomes / (server.outcomes + 1)), failurePower);
         if (!server.sameZone)
             weight *= farWeight;
