Tokens: no use of the list of keepers after it was moved

A keeper that no longer knows an account (configuration changed in between) would have asked itself again without end, since the list's size could be read after the move.

--- a/packages/exchange/lacewingsail/src/Exchange/AccountTokens.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountTokens.cpp
@@ -80,7 +80,8 @@
     if (keepers[rank].id == m_directory.self().id) {
         if (const auto given = give({ account, wanted }))
             return finish(account, *given, answer);
-        return ask(account, std::move(keepers), keepers.size(), wanted, std::move(answer));
+        const std::size_t none = keepers.size();
+        return ask(account, std::move(keepers), none, wanted, std::move(answer));
     }
     const LiveHost keeper = keepers[rank];
     m_calls->takeTokens(keeper.peers, { account, wanted }, [this, account, keepers = std::move(keepers), keeper, rank, wanted, answer = std::move(answer)](std::optional<DrawResult> result) mutable {
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -134,8 +134,10 @@
 void BackendTable::closeIdle()
 {
     const MonotonicTime now = m_clock.now();
-    for (const auto& [id, state] : m_servers)
-        std::erase_if(state->idle, [&](const UpstreamConnectionPtr& connection) { return now >= connection->openUntil || !state->inUse; });
+    for (const auto& entry : m_servers) {
+        BackendState& state = *entry.second;
+        std::erase_if(state.idle, [&](const UpstreamConnectionPtr& connection) { return now >= connection->openUntil || !state.inUse; });
+    }
 }
 
 UpstreamConnectionPtr takeIdle(BackendState& state, MonotonicTime now, Duration mostIdle)
