Reverted: stuck servers by overdue requests

Under load, requests wait for twice the usual time at sound servers too, so that suspicion took capacity out of use when it was scarce.

--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.cpp
@@ -41,7 +41,6 @@
         protocol::UseOfServer& message = *messages.Add();
         message.set_id(id.value());
         message.set_in_flight(toHundredths(use.inFlight));
-        message.set_overdue(toHundredths(use.overdue));
         message.set_answered(toHundredths(use.answered));
         message.set_failed(toHundredths(use.failed));
         message.set_answer_ms(static_cast<std::uint32_t>(use.answerMilliseconds));
@@ -52,7 +51,7 @@
 {
     UseOfServers servers;
     for (const protocol::UseOfServer& message : messages)
-        servers[BackendServerId(message.id())] = { message.in_flight() / hundredths, message.overdue() / hundredths, message.answered() / hundredths, message.failed() / hundredths, static_cast<double>(message.answer_ms()) };
+        servers[BackendServerId(message.id())] = { message.in_flight() / hundredths, message.answered() / hundredths, message.failed() / hundredths, static_cast<double>(message.answer_ms()) };
     return servers;
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -12,9 +12,6 @@
     constexpr std::chrono::milliseconds firstAvoidance { 600 };
     constexpr std::chrono::milliseconds longestAvoidance { 4000 };
     constexpr int mostDoublings = 3;
-    // Work times spread by about a third: few sound requests take this many times the usual time.
-    constexpr int overdueAnswers = 2;
-    constexpr std::chrono::milliseconds leastOverdueTime { 600 };
     // Part of the earlier sight of other hosts' requests that stays with each exchange: one sight is mostly chance, as
     // requests last no longer than it is old.
     constexpr double loadMemory = 0.5;
@@ -99,22 +96,12 @@
     UseOfServers uses;
     for (const auto& [id, state] : m_servers) {
         fadeOwn(*state);
-        state->own.overdue = overdue(*state);
         if (state->own.inFlight > 0 || state->own.answered + state->own.failed >= leastReported)
             uses.emplace(id, state->own);
     }
     return uses;
 }
 
-double BackendTable::overdue(const BackendState& state) const
-{
-    if (state.begun.empty())
-        return 0;
-    const Duration bound = std::max(Duration(usualAnswer(state.server.service)) * overdueAnswers, Duration(leastOverdueTime));
-    const auto end = state.begun.upper_bound(m_clock.now() - bound);
-    return static_cast<double>(std::distance(state.begun.begin(), end));
-}
-
 std::chrono::milliseconds BackendTable::usualAnswer(const ServiceId& service) const
 {
     ServerUse sum;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -7,7 +7,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 namespace lacewingsail::internal {
@@ -46,8 +45,6 @@
     MonotonicTime fullUntil {};
     /// What failures at any host make of it.
     Suspicion suspicion;
-    /// When each request under way began, oldest first.
-    std::multiset<MonotonicTime> begun;
     std::deque<UpstreamConnectionPtr> idle;
 
     /// \returns the use by all hosts.
@@ -89,8 +86,6 @@
     void closeIdle();
 
 private:
-    double overdue(const BackendState&) const;
-
     const Clock& m_clock;
     std::map<BackendServerId, BackendStatePtr> m_servers;
     std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -119,7 +119,7 @@
             sight.slowness = use.answerMilliseconds / use.answered / static_cast<double>(usual.count());
         sight.sameZone = state.server.zone == services.settings.zone;
         sight.warmingUp = now < state.warmUntil;
-        sight.suspect = isSuspect(state.suspicion, now) || isStuck(use);
+        sight.suspect = isSuspect(state.suspicion, now);
         sight.unreachable = now < state.avoidUntil;
         sight.full = now < state.fullUntil;
         sight.tried = std::ranges::find(request.tried, state.server.id) != request.tried.end();
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
@@ -31,23 +31,17 @@
     /// \brief Counts a request as under way at a server for as long as it exists.
     class InFlight {
     public:
-        InFlight(BackendStatePtr state, MonotonicTime now)
+        explicit InFlight(BackendStatePtr state)
             : m_state(std::move(state))
-            , m_begun(m_state->begun.insert(now))
         {
             m_state->own.inFlight += 1;
         }
-        ~InFlight()
-        {
-            m_state->own.inFlight -= 1;
-            m_state->begun.erase(m_begun);
-        }
+        ~InFlight() { m_state->own.inFlight -= 1; }
         InFlight(const InFlight&) = delete;
         InFlight& operator=(const InFlight&) = delete;
 
     private:
         BackendStatePtr m_state;
-        std::multiset<MonotonicTime>::iterator m_begun;
     };
 
     /// \brief Asks whether to give up an attempt once it is stalled.
@@ -258,7 +252,7 @@
 net::awaitable<AttemptReport> attempt(RequestServices& services, std::shared_ptr<RequestState> request, BackendStatePtr server, AttemptPatience patience)
 {
     const MonotonicTime until = request->deadline;
-    const InFlight inFlight(server, services.clock.now());
+    const InFlight inFlight(server);
     const Duration mostIdle = mayRepeat(*request) ? Duration(keptConnection) : Duration(provenConnection);
     UpstreamConnectionPtr connection = takeIdle(*server, services.clock.now(), mostIdle);
     if (!connection)
--- a/packages/policy/lacewingsail/src/Policy/ServerUse.cpp
+++ b/packages/policy/lacewingsail/src/Policy/ServerUse.cpp
@@ -9,28 +9,20 @@
 
     // A gray failure lasts for several seconds: older outcomes say nothing about the next request.
     constexpr std::chrono::duration<double> useHalfLife { 2.0 };
-    // A single long request is chance (one in a hundred takes five times as long), two at a server at once hardly are.
-    constexpr double leastOverdue = 2;
-    constexpr double overdueShare = 0.5;
 
 } // namespace internal
 
 ServerUse operator+(const ServerUse& left, const ServerUse& right)
 {
-    return { left.inFlight + right.inFlight, left.overdue + right.overdue, left.answered + right.answered, left.failed + right.failed, left.answerMilliseconds + right.answerMilliseconds };
+    return { left.inFlight + right.inFlight, left.answered + right.answered, left.failed + right.failed, left.answerMilliseconds + right.answerMilliseconds };
 }
 
 ServerUse beyond(const ServerUse& whole, const ServerUse& part)
 {
-    return { std::max(0.0, whole.inFlight - part.inFlight), std::max(0.0, whole.overdue - part.overdue), std::max(0.0, whole.answered - part.answered),
+    return { std::max(0.0, whole.inFlight - part.inFlight), std::max(0.0, whole.answered - part.answered),
         std::max(0.0, whole.failed - part.failed), std::max(0.0, whole.answerMilliseconds - part.answerMilliseconds) };
 }
 
-bool isStuck(const ServerUse& use)
-{
-    return use.overdue >= internal::leastOverdue && use.overdue >= internal::overdueShare * use.inFlight;
-}
-
 void fade(ServerUse& use, Duration elapsed)
 {
     const double factor = std::exp2(-std::chrono::duration<double>(elapsed) / internal::useHalfLife);
--- a/packages/policy/lacewingsail/src/Policy/ServerUse.h
+++ b/packages/policy/lacewingsail/src/Policy/ServerUse.h
@@ -10,8 +10,6 @@
 /// The counts fade, so that they tell of the last seconds.
 struct ServerUse {
     double inFlight = 0;
-    /// Those of them that have waited for far longer than an answer usually takes.
-    double overdue = 0;
     double answered = 0;
     double failed = 0;
     /// Sum of the times to answer of \ref answered, in milliseconds.
@@ -24,11 +22,6 @@
 /// \returns what \p whole has beyond \p part, not below zero; the two may be of slightly different age.
 ServerUse beyond(const ServerUse& whole, const ServerUse& part);
 
-/// \returns whether a server most likely does not answer any more, or far too slowly: several requests of different hosts
-/// are overdue there, and they are most of what it has. Answers servers that hang or turn slow, which show nothing else
-/// before the first time-out.
-bool isStuck(const ServerUse&);
-
 /// \brief Lets the counts fade by the time that has passed; requests in flight stay.
 void fade(ServerUse&, Duration elapsed);
 
