--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -178,6 +178,9 @@
 void GatewayHost::Implementation::readHosts()
 {
     store->newest(RecordStream::Hosts, [this](const LogReading& reading) {
+        // Seeds and exchanges make the hosts known too, so that it is not read again.
+        if (reading.code != ResultCode::Ok)
+            log(Event("hosts-not-read").with("reason", reading.code));
         for (const KeyedRecord& record : reading.records) {
             const auto host = record.value ? parts.decodeHost(HostId(record.key), *record.value) : std::nullopt;
             // Whether it still lives shows with the first exchange.
--- a/packages/policy/lacewingsail/src/Policy/AccountPool.cpp
+++ b/packages/policy/lacewingsail/src/Policy/AccountPool.cpp
@@ -10,8 +10,8 @@
     // What a new keeper starts with, in time at the account's rate: its predecessor may have given the whole burst a
     // moment ago, and the operators' windows forgive a tenth of five seconds.
     constexpr std::chrono::milliseconds firstFill { 400 };
-    // Share of the rate that hosts other than the keeper may give, in percent: a third and a tenth together stay within
-    // the overshoot that short disagreements may cause.
+    // Share of the rate that hosts other than the keeper may give, in percent: for the seconds in which hosts disagree on
+    // the keeper, this stays near the operators' overshoot of a tenth and their slack.
     constexpr int standbyPercent = 20;
     constexpr int strangerPercent = 5;
     // A pool below this part of its burst hands out single tokens.
--- a/packages/policy/lacewingsail/src/Policy/Placement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/Placement.cpp
@@ -7,7 +7,7 @@
 
 namespace internal {
 
-    // Weight of a server in another availability zone: about a quarter of the requests leave the zone when all servers
+    // Weight of a server in another availability zone: about a third of the requests leave one of three equal zones when all servers
     // are equally free, which keeps the sight of the far ones fresh.
     constexpr double farWeight = 0.25;
     constexpr double warmupWeight = 0.3;
