--- a/packages/exchange/lacewingsail/Exchange.h
+++ b/packages/exchange/lacewingsail/Exchange.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /// \brief Umbrella header of the package `exchange`: what gateway hosts tell each other. One periodic call carries the
-/// configuration, the backend servers, their use, and who is alive; a second one draws tokens of client accounts.
+/// configuration, the backend servers, their use, and who is alive; a second one draws tokens of client accounts, a
+/// third one has the host that knows a server's load choose it.
 
 #include <lacewingsail/Discovery.h>
 #include <lacewingsail/Policy.h>
@@ -14,4 +15,6 @@
 #include "src/Exchange/AccountTokens.h"
 #include "src/Exchange/FleetExchange.h"
 #include "src/Exchange/GatewayCalls.h"
+#include "src/Exchange/PlacementKeeper.h"
+#include "src/Exchange/SharedPlacement.h"
 #include "src/Exchange/ServerWarnings.h"
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    constexpr double hundredths = 100;
-
     std::uint32_t toHundredths(double value) { return static_cast<std::uint32_t>(std::llround(std::max(0.0, value) * hundredths)); }
 
     std::uint32_t milliseconds(Duration duration)
@@ -16,6 +14,23 @@
         return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()));
     }
 
+    protocol::PlacementOutcome::End endNumber(PlacementEnd end)
+    {
+        switch (end) {
+        case PlacementEnd::Served:
+            return protocol::PlacementOutcome::SERVED;
+        case PlacementEnd::Failed:
+            return protocol::PlacementOutcome::FAILED;
+        case PlacementEnd::Refused:
+            return protocol::PlacementOutcome::REFUSED;
+        case PlacementEnd::Unreached:
+            return protocol::PlacementOutcome::UNREACHED;
+        case PlacementEnd::Void:
+            break;
+        }
+        return protocol::PlacementOutcome::VOID;
+    }
+
 } // namespace
 
 void encode(const LiveHost& host, std::chrono::milliseconds age, bool leaving, protocol::GatewayHost& message)
@@ -108,4 +123,61 @@
     return change;
 }
 
+void encode(const PlacementCell& cell, const PlacementDemand& demand, protocol::PlacementDemand& message)
+{
+    message.mutable_cell()->set_service(cell.service.value());
+    message.mutable_cell()->set_zone(cell.zone.value());
+    message.mutable_cell()->set_index(cell.index);
+    message.mutable_cell()->set_count(cell.count);
+    for (const BackendServerId& id : demand.excluded)
+        message.add_excluded(id.value());
+    message.set_objective_ms(milliseconds(demand.objective));
+    message.set_term_ms(milliseconds(demand.term));
+    message.set_most_fill(toHundredths(demand.mostFill));
+    message.set_expendable(demand.expendable);
+    message.set_repeat(demand.repeat);
+}
+
+PlacementCell decodeCell(const protocol::PlacementDemand& message)
+{
+    const protocol::PlacementCell& cell = message.cell();
+    return { ServiceId(cell.service()), ZoneId(cell.zone()), cell.index(), std::max(cell.count(), 1U) };
+}
+
+PlacementDemand decode(const protocol::PlacementDemand& message)
+{
+    PlacementDemand demand;
+    demand.service = ServiceId(message.cell().service());
+    for (const std::string& id : message.excluded())
+        demand.excluded.emplace_back(id);
+    demand.objective = std::chrono::milliseconds(message.objective_ms());
+    demand.term = std::chrono::milliseconds(message.term_ms());
+    demand.mostFill = message.most_fill() / hundredths;
+    demand.expendable = message.expendable();
+    demand.repeat = message.repeat();
+    return demand;
+}
+
+void encode(const PlacementOutcome& outcome, protocol::PlacementOutcome& message)
+{
+    message.set_server(outcome.server.value());
+    message.set_number(outcome.number);
+    message.set_end(endNumber(outcome.end));
+    message.set_took_ms(milliseconds(outcome.took));
+    if (outcome.reportedLoad)
+        message.set_reported_load(toHundredths(*outcome.reportedLoad));
+}
+
+PlacementOutcome decode(const protocol::PlacementOutcome& message)
+{
+    PlacementOutcome outcome { BackendServerId(message.server()), message.number(), PlacementEnd::Void, std::chrono::milliseconds(message.took_ms()), std::nullopt };
+    for (const PlacementEnd end : { PlacementEnd::Served, PlacementEnd::Failed, PlacementEnd::Refused, PlacementEnd::Unreached }) {
+        if (endNumber(end) == message.end())
+            outcome.end = end;
+    }
+    if (message.has_reported_load())
+        outcome.reportedLoad = message.reported_load() / hundredths;
+    return outcome;
+}
+
 } // namespace lacewingsail::internal
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeMessages.h
@@ -6,6 +6,9 @@
 
 namespace lacewingsail::internal {
 
+/// Numbers with two decimals travel as whole ones.
+constexpr double hundredths = 100;
+
 /// \brief Conversions between the messages of exchange.proto and the structs of the product. Malformed parts of a message
 /// are left out.
 void encode(const LiveHost&, std::chrono::milliseconds age, bool leaving, protocol::GatewayHost&);
@@ -20,4 +23,11 @@
 void encode(const ServerChange&, protocol::ServerNews&);
 std::optional<ServerChange> decode(const protocol::ServerNews&);
 
+void encode(const PlacementCell&, const PlacementDemand&, protocol::PlacementDemand&);
+PlacementCell decodeCell(const protocol::PlacementDemand&);
+PlacementDemand decode(const protocol::PlacementDemand&);
+
+void encode(const PlacementOutcome&, protocol::PlacementOutcome&);
+PlacementOutcome decode(const protocol::PlacementOutcome&);
+
 } // namespace lacewingsail::internal
--- a/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
@@ -6,6 +6,8 @@
 class FleetDirectory;
 class FleetExchange;
 class GatewayCalls;
+class PlacementKeeper;
+class SharedPlacement;
 class ServerWarnings;
 class UseBook;
 
@@ -15,6 +17,8 @@
     class ExchangeRequest;
     class FleetNews;
     class GatewayHost;
+    class PlacementDemand;
+    class PlacementOutcome;
     class ServerNews;
     class UseOfZone;
 
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -15,6 +15,10 @@
     // A caller waits for it; the second host is asked afterwards.
     constexpr std::chrono::milliseconds tokenTimeout { 150 };
 
+    // Many times the way to a host of any zone (3 ms) and several times what a host with a tenth of a core needs to
+    // answer; a request that waits for it loses less than a tenth of its objective.
+    constexpr std::chrono::milliseconds placementTimeout { 90 };
+
     /// \brief One call under way; lives until its answer.
     template <typename Request, typename Reply>
     struct Call {
@@ -72,7 +76,37 @@
             return reactor;
         }
 
+        // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
+        grpc::ServerUnaryReactor* Place(grpc::CallbackServerContext* context, const protocol::PlaceRequest* request, protocol::PlaceReply* reply) override
+        {
+            auto* reactor = context->DefaultReactor();
+            m_loop.post([this, request, reply, reactor] {
+                answerPlace(*request, *reply);
+                reactor->Finish(grpc::Status::OK);
+            });
+            return reactor;
+        }
+
     private:
+        void answerPlace(const protocol::PlaceRequest& request, protocol::PlaceReply& reply)
+        {
+            std::vector<PlacementOutcome> outcomes;
+            for (const protocol::PlacementOutcome& outcome : request.outcomes())
+                outcomes.push_back(decode(outcome));
+            m_handlers.placementsEnded(outcomes);
+            if (!request.has_demand())
+                return;
+            const auto placed = m_handlers.place(decodeCell(request.demand()), decode(request.demand()));
+            reply.set_unknown(!placed);
+            if (!placed)
+                return;
+            reply.set_server(placed->server ? placed->server->value() : std::string());
+            reply.set_number(placed->number);
+            reply.set_room_after_ms(static_cast<std::uint32_t>(placed->roomAfter.count()));
+            reply.set_allowance_used(placed->allowanceUsed);
+            reply.set_loss(static_cast<std::uint32_t>(placed->loss * hundredths));
+        }
+
         EventLoop& m_loop;
         GatewayCalls::Handlers m_handlers;
     };
@@ -141,4 +175,51 @@
     });
 }
 
+namespace internal {
+
+    using PlaceCall = Call<protocol::PlaceRequest, protocol::PlaceReply>;
+
+    std::shared_ptr<PlaceCall> makePlaceCall(PeerChannels& channels, const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes)
+    {
+        auto call = std::make_shared<PlaceCall>();
+        call->channel = channels.to(endpoint);
+        call->request = std::make_unique<protocol::PlaceRequest>();
+        for (const PlacementOutcome& outcome : outcomes)
+            encode(outcome, *call->request->add_outcomes());
+        return call;
+    }
+
+    std::optional<PlacementReply> placementOf(const protocol::PlaceReply& reply)
+    {
+        if (reply.unknown())
+            return std::nullopt;
+        PlacementReply placed { std::nullopt, reply.number(), reply.loss() / hundredths, std::chrono::milliseconds(reply.room_after_ms()), reply.allowance_used() };
+        if (!reply.server().empty())
+            placed.server = BackendServerId(reply.server());
+        return placed;
+    }
+
+} // namespace internal
+
+void GatewayCalls::place(const Endpoint& endpoint, const PlacementCell& cell, const PlacementDemand& demand, const std::vector<PlacementOutcome>& outcomes, PlacementAnswer answer)
+{
+    const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
+    internal::encode(cell, demand, *call->request->mutable_demand());
+    call->context.set_deadline(std::chrono::system_clock::now() + internal::placementTimeout);
+    protocol::Gateways::Stub stub(call->channel);
+    stub.async()->Place(&call->context, call->request.get(), &call->reply, [this, call, answer = std::move(answer)](const grpc::Status& status) {
+        m_implementation->loop.post([call, answer, ok = status.ok()] {
+            answer({ ok, ok ? internal::placementOf(call->reply) : std::nullopt });
+        });
+    });
+}
+
+void GatewayCalls::reportPlacements(const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes)
+{
+    const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
+    call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
+    protocol::Gateways::Stub stub(call->channel);
+    stub.async()->Place(&call->context, call->request.get(), &call->reply, [call](const grpc::Status&) {});
+}
+
 } // namespace lacewingsail
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "ForwardDeclarations.h"
+#include "PlacementKeeper.h"
 
 #include <lacewingsail/World.h>
 
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <system_error>
 #include <vector>
 
@@ -36,12 +38,24 @@
     using ExchangeAnswer = std::function<void(const protocol::ExchangeReply*)>;
     using TokenAnswer = std::function<void(std::optional<DrawResult>)>;
 
+    /// \brief What came of asking a keeper of placements.
+    struct PlacementResult {
+        /// Whether it answered in time.
+        bool answered = false;
+        /// Nothing if it does not know the servers either.
+        std::optional<PlacementReply> reply;
+    };
+    using PlacementAnswer = std::function<void(const PlacementResult&)>;
+
     /// \brief How this host answers the others.
     struct Handlers {
         std::function<void(const protocol::ExchangeRequest&, protocol::ExchangeReply&)> exchange;
         std::function<void(const FailureNews&)> warning;
         /// Nothing if the account is not known here.
         std::function<std::optional<DrawResult>(const TokenDemand&)> tokens;
+        /// Nothing if no server of the cell is known here.
+        std::function<std::optional<PlacementReply>(const PlacementCell&, const PlacementDemand&)> place;
+        std::function<void(std::span<const PlacementOutcome>)> placementsEnded;
     };
 
     /// \param error set if this host cannot listen for calls.
@@ -56,6 +70,12 @@
     /// \brief Draws tokens from another host. The answer is empty if it did not come in time or the account is unknown there.
     void takeTokens(const Endpoint&, const TokenDemand&, TokenAnswer);
 
+    /// \brief Has another host choose a server of \p cell, and tells it how earlier requests ended.
+    void place(const Endpoint&, const PlacementCell& cell, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementAnswer);
+
+    /// \brief Tells another host how requests ended that it placed. What is lost lapses there with the requests' deadlines.
+    void reportPlacements(const Endpoint&, const std::vector<PlacementOutcome>&);
+
     /// \brief Tells another host of failures; whether it arrives does not matter.
     void warn(const Endpoint&, const FailureNews&);
 
--- /dev/null
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementKeeper.cpp
@@ -0,0 +1,116 @@
+#include <lacewingsail/Exchange.h>
+
+#include <lacewingsail/Observe.h>
+
+#include <algorithm>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // A server that is full has room after a part of a request's time: its slots end one after the other.
+    constexpr double roomPart = 0.5;
+    constexpr std::chrono::milliseconds shortestRoomAfter { 100 };
+    constexpr std::chrono::milliseconds longestRoomAfter { 1000 };
+    // The spell of failures is told in the log once it is more likely than not, and once it is over.
+    constexpr double toldChance = 0.5;
+
+    bool isSameRun(const RegisteredServer& left, const RegisteredServer& right)
+    {
+        return left.born == right.born && left.endpoint == right.endpoint && left.service == right.service;
+    }
+
+} // namespace internal
+
+PlacementKeeper::PlacementKeeper(const ServerRegistry& registry, const GatewayBounds& bounds, const Clock& clock, std::uint64_t firstNumber)
+    : m_registry(registry)
+    , m_bounds(bounds)
+    , m_clock(clock)
+    , m_nextNumber(firstNumber)
+{
+}
+
+void PlacementKeeper::update()
+{
+    std::erase_if(m_servers, [this](const auto& kept) {
+        const auto entry = m_registry.entries().find(kept.first);
+        return entry == m_registry.entries().end() || !internal::isSameRun(entry->second.server, kept.second.server);
+    });
+    for (const auto& [id, entry] : m_registry.entries()) {
+        KeptServer& kept = m_servers[id];
+        kept.server = entry.server;
+        kept.warmUntil = entry.warmUntil;
+    }
+}
+
+std::vector<KeptServer*> PlacementKeeper::serversOf(const PlacementCell& cell)
+{
+    std::vector<KeptServer*> servers;
+    for (auto& [id, kept] : m_servers) {
+        const RegisteredServer& server = kept.server;
+        if (server.service == cell.service && server.zone == cell.zone && !server.draining && cellOf(id, cell.count) == cell.index)
+            servers.push_back(&kept);
+    }
+    return servers;
+}
+
+// The operators bound the further attempts of a service; each cell has the part of its servers.
+RetryTerms PlacementKeeper::retryTerms(const ServiceId& service, std::size_t cellServers) const
+{
+    const auto all = std::ranges::count_if(m_servers, [&](const auto& kept) { return kept.second.server.service == service && !kept.second.server.draining; });
+    return keeperRetryTerms(m_bounds, std::min(1.0, static_cast<double>(cellServers) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1))));
+}
+
+std::chrono::milliseconds PlacementKeeper::roomAfter(std::span<KeptServer* const> servers, const PlacementDemand& demand) const
+{
+    const MonotonicTime now = m_clock.now();
+    double least = 1;
+    for (const KeptServer* server : servers)
+        least = std::min(least, std::max(0.0, (loadOf(*server, now) + 1) / server->server.slots.value - demand.mostFill));
+    const auto objective = std::chrono::duration_cast<std::chrono::milliseconds>(demand.objective * (internal::roomPart + least) / 2);
+    return std::clamp(objective, internal::shortestRoomAfter, internal::longestRoomAfter);
+}
+
+std::optional<PlacementReply> PlacementKeeper::place(const PlacementCell& cell, const PlacementDemand& demand)
+{
+    const std::vector<KeptServer*> servers = serversOf(cell);
+    if (servers.empty())
+        return std::nullopt;
+    const MonotonicTime now = m_clock.now();
+    const RetryTerms terms = retryTerms(cell.service, servers.size());
+    RetryAllowance& allowance = m_allowances[cell];
+    if (!demand.repeat)
+        earn(allowance, terms, now);
+    PlacementDemand allowed = demand;
+    allowed.expendable = demand.expendable && hasReserve(allowance, terms, now);
+    const std::uint64_t number = m_nextNumber++;
+    const WorkTimes& works = m_works[cell.service];
+    // The number spreads well enough to break ties.
+    const double random = static_cast<double>(stableHash(std::to_string(number)) >> 11) * 0x1.0p-53;
+    const auto chosen = chooseKept(servers, allowed, works, m_bounds.floorShare, now, random);
+    if (!chosen)
+        return PlacementReply { std::nullopt, 0, 0, roomAfter(servers, demand), false };
+    if (demand.repeat && !take(allowance, terms, now))
+        return PlacementReply { std::nullopt, 0, 0, {}, true };
+    KeptServer& server = *servers[chosen->position];
+    lacewingsail::place(server, allowed, works, number, now);
+    return PlacementReply { server.server.id, number, chosen->loss, {}, false };
+}
+
+void PlacementKeeper::settle(std::span<const PlacementOutcome> outcomes)
+{
+    const MonotonicTime now = m_clock.now();
+    for (const PlacementOutcome& outcome : outcomes) {
+        const auto found = m_servers.find(outcome.server);
+        if (found == m_servers.end())
+            continue;
+        KeptServer& server = found->second;
+        const bool before = spellChance(server.odds, now) >= internal::toldChance;
+        lacewingsail::settle(server, m_works[server.server.service], outcome, now);
+        const double chance = spellChance(server.odds, now);
+        if (before != (chance >= internal::toldChance))
+            log(Event(before ? "server-trusted-again" : "server-doubted").with("server", outcome.server).with("chance_percent", static_cast<long long>(chance * 100)).with("load", static_cast<long long>(loadOf(server, now))));
+    }
+}
+
+} // namespace lacewingsail
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -82,6 +82,26 @@
     return found == m_services.end() ? none : found->second;
 }
 
+BackendStatePtr BackendTable::find(const BackendServerId& id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() || !found->second->inUse ? nullptr : found->second;
+}
+
+std::vector<ZoneRoom> BackendTable::rooms(const ServiceId& service) const
+{
+    std::vector<ZoneRoom> rooms;
+    for (const BackendStatePtr& state : of(service)) {
+        auto room = std::ranges::find(rooms, state->server.zone, &ZoneRoom::zone);
+        if (room == rooms.end())
+            room = rooms.insert(rooms.end(), ZoneRoom { state->server.zone });
+        ++room->servers;
+        room->slots += state->server.slots.value;
+        room->load += state->total().inFlight;
+    }
+    return rooms;
+}
+
 void BackendTable::fadeOwn(BackendState& state) const
 {
     const MonotonicTime now = m_clock.now();
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -70,6 +70,12 @@
     /// \returns the servers of a service that may get new work, those that warm up included.
     const std::vector<BackendStatePtr>& of(const ServiceId&) const;
 
+    /// \returns the server with this id, if it may get new work.
+    BackendStatePtr find(const BackendServerId&) const;
+
+    /// \returns what the servers of a service have room for in each availability zone. Allocates.
+    std::vector<ZoneRoom> rooms(const ServiceId&) const;
+
     /// \returns this host's own use, faded until now. Allocates.
     UseOfServers ownUse();
 
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -52,10 +52,12 @@
     UseBook uses { settings.id, settings.zone };
     AccountTokens tokens { directory, active, clock };
     ServerWarnings warnings { directory, loop, clock, [this](const BackendServerId& id, MonotonicTime failedAt) { backends.noteFailureElsewhere(id, failedAt); } };
+    PlacementKeeper placementKeeper { registry, settings.bounds, clock, random() };
+    SharedPlacement placement { directory, placementKeeper, loop, clock };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, uses, settings.seeds, [this] { return backends.ownUse(); }, [this] { stateChanged(); } } };
     std::map<ServiceId, RetryAllowance> retries;
     internal::CallerConnections connections;
-    internal::RequestServices services { settings, parts.names, clock, loop.context(), active, follower, directory, tokens, warnings, backends, metrics, retries, random, connections.draining };
+    internal::RequestServices services { settings, parts.names, clock, loop.context(), active, follower, directory, tokens, warnings, placement, backends, metrics, retries, random, connections.draining };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
@@ -85,6 +87,8 @@
     handlers.exchange = [this](const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply) { exchange.answer(request, reply); };
     handlers.warning = [this](const FailureNews& news) { warnings.take(news); };
     handlers.tokens = [this](const TokenDemand& demand) { return tokens.give(demand); };
+    handlers.place = [this](const PlacementCell& cell, const PlacementDemand& demand) { return placementKeeper.place(cell, demand); };
+    handlers.placementsEnded = [this](std::span<const PlacementOutcome> outcomes) { placementKeeper.settle(outcomes); };
     calls = std::make_unique<GatewayCalls>(loop, settings.peers, std::move(handlers), error);
     if (error)
         return error;
@@ -92,6 +96,7 @@
     tokens.connect(*calls);
     tokens.verifyKeepersBy([this](const LiveHost& keeper) { exchange.ask(keeper); });
     warnings.connect(*calls);
+    placement.connect(*calls);
     readiness = std::make_unique<HttpServer>(
         settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error);
     if (error)
@@ -139,6 +144,7 @@
 void GatewayHost::Implementation::stateChanged()
 {
     backends.update(registry);
+    placementKeeper.update();
     const bool knowsServers = follower.serversAsOf() != MonotonicTime {} || !registry.entries().empty();
     ready = active.inForce() && knowsServers && !connections.draining;
 }
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -20,6 +20,11 @@
     constexpr std::chrono::seconds provenAbsence { 3 };
     // Connections that one request tries to open at most.
     constexpr int mostConnections = 4;
+    // Hosts that are asked to place an attempt: the one of the near servers and two others.
+    constexpr int mostKeepersAsked = 3;
+    // An offer that is expected to lose more than this of the benefit is compared with those of other zones: a server that
+    // may be failing, or one whose queue makes the answer about as late as its objective.
+    constexpr double goodOffer = 0.3;
     // Part of the time left after which an attempt of a request that may be repeated is given up for another server.
     constexpr double patience = 0.55;
     // A stall is not assumed before this many times the usual time to answer.
@@ -126,10 +131,15 @@
         return sight;
     }
 
-    PlacementTerms termsOf(const RequestServices& services, const RequestState& request)
+    double mostFillOf(const RequestState& request)
     {
         const Priority priority = request.account && request.account->priority ? *request.account->priority : request.route->priority;
-        return { priority <= urgent ? mostFillUrgent : mostFillOther, services.settings.bounds.floorShare, request.route->repeatable };
+        return priority <= urgent ? mostFillUrgent : mostFillOther;
+    }
+
+    PlacementTerms termsOf(const RequestServices& services, const RequestState& request)
+    {
+        return { mostFillOf(request), services.settings.bounds.floorShare, request.route->repeatable };
     }
 
     BackendStatePtr choose(RequestServices& services, const RequestState& request)
@@ -156,6 +166,101 @@
         return position ? states[*position] : nullptr;
     }
 
+    /// \brief A server for one attempt, and who chose it.
+    struct Chosen {
+        BackendStatePtr server;
+        /// Nothing if this host chose it by its own sight.
+        std::optional<PlacementTicket> ticket;
+        /// Part of the request's benefit that is expected to be lost there.
+        double loss = 0;
+        /// When there may be room, if no server had any.
+        std::chrono::milliseconds roomAfter { 0 };
+        /// The request needs a further attempt, and the service has none left.
+        bool allowanceUsed = false;
+    };
+
+    PlacementDemand demandOf(const RequestServices& services, const RequestState& request)
+    {
+        const MonotonicTime now = services.clock.now();
+        PlacementDemand demand { request.service, request.tried, request.route->targetLatency, std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now), mostFillOf(request), false, !request.sentTo.empty() };
+        for (const BackendStatePtr& state : services.backends.of(request.service)) {
+            if (now < state->avoidUntil)
+                demand.excluded.push_back(state->server.id);
+        }
+        const int sent = static_cast<int>(request.sentTo.size());
+        demand.expendable = request.route->repeatable && sent + 1 < request.route->mostAttempts;
+        return demand;
+    }
+
+    net::awaitable<std::optional<SharedReply>> askKeeper(RequestServices& services, PlacementCell cell, PlacementDemand demand)
+    {
+        const auto initiate = [&services, &cell, &demand](auto handler) {
+            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+            services.placement.ask(cell, demand, [&services, shared](std::optional<SharedReply> reply) {
+                net::post(services.context, [shared, reply = std::move(reply)]() mutable { std::move (*shared)(std::move(reply)); });
+            });
+        };
+        co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(std::optional<SharedReply>)>(initiate, net::use_awaitable);
+    }
+
+    PlacementCell cellIn(const ServiceId& service, const ZoneRoom& room, std::uint64_t random)
+    {
+        const std::uint32_t count = cellCount(room.servers);
+        return { service, room.zone, static_cast<std::uint32_t>(random % count), count };
+    }
+
+    void giveBack(RequestServices& services, const Chosen& chosen)
+    {
+        if (chosen.ticket)
+            services.placement.report(*chosen.ticket, {});
+    }
+
+    // Keeps the better one of two offers.
+    void takeOffer(RequestServices& services, Chosen& chosen, const SharedReply& reply)
+    {
+        chosen.roomAfter = std::max(chosen.roomAfter, reply.roomAfter);
+        chosen.allowanceUsed = chosen.allowanceUsed || reply.allowanceUsed;
+        if (!reply.ticket)
+            return;
+        Chosen offer { services.backends.find(reply.ticket->server), reply.ticket, reply.loss, chosen.roomAfter, false };
+        if (!offer.server || (chosen.server && chosen.loss <= offer.loss))
+            return giveBack(services, offer);
+        giveBack(services, chosen);
+        chosen = std::move(offer);
+    }
+
+    Chosen chooseAlone(RequestServices& services, const RequestState& request)
+    {
+        Chosen chosen;
+        // Requests that were sent before need a further attempt of this host's own allowance.
+        chosen.allowanceUsed = !request.sentTo.empty() && !take(services.retries[request.service], ownRetryTerms(services.settings.bounds), services.clock.now());
+        if (!chosen.allowanceUsed)
+            chosen.server = choose(services, request);
+        return chosen;
+    }
+
+    // The host that places the requests of the near servers is asked first, then those of zones with more room; if none
+    // answers, this host's own sight has to do.
+    net::awaitable<Chosen> chooseShared(RequestServices& services, std::shared_ptr<RequestState> request)
+    {
+        std::vector<ZoneRoom> rooms = services.backends.rooms(request->service);
+        std::uniform_real_distribution<double> uniform(0, 1);
+        auto zone = chooseZone(rooms, services.settings.zone, uniform(services.random));
+        Chosen chosen;
+        bool heard = false;
+        for (int asked = 0; zone && asked < mostKeepersAsked; ++asked) {
+            const auto reply = co_await askKeeper(services, cellIn(request->service, rooms[*zone], services.random()), demandOf(services, *request));
+            heard = heard || reply;
+            if (reply)
+                takeOffer(services, chosen, *reply);
+            if (chosen.server && chosen.loss <= goodOffer)
+                break;
+            rooms.erase(rooms.begin() + static_cast<std::ptrdiff_t>(*zone));
+            zone = nextZone(rooms, rooms.size());
+        }
+        co_return heard ? chosen : chooseAlone(services, *request);
+    }
+
     bool isFinal(const RequestState& request, const AttemptReport& report)
     {
         if (report.end == AttemptEnd::Answered)
@@ -163,20 +268,21 @@
         return report.end == AttemptEnd::Unknown && !request.route->repeatable;
     }
 
-    bool mayTryAgain(RequestServices& services, const RequestState& request, const RetryTerms& terms)
+    bool mayTryAgain(const RequestServices& services, const RequestState& request)
     {
         if (request.callerGone || services.clock.now() >= request.deadline)
             return false;
-        if (request.sentTo.empty())
-            return true;
-        if (static_cast<int>(request.sentTo.size()) >= request.route->mostAttempts)
-            return false;
-        return take(services.retries[request.service], terms, services.clock.now());
+        return static_cast<int>(request.sentTo.size()) < request.route->mostAttempts;
+    }
+
+    void logNotRepeated(const RequestState& request, const char* reason)
+    {
+        log(Event("attempt-not-repeated").with("request", request.id).with("attempts", static_cast<long long>(request.sentTo.size())).with("most", request.route->mostAttempts).with("reason", reason));
     }
 
     // An answer that is under way is only given up if another server is to be asked in its place: silence alone is no
-    // reason to end a request sooner, least of all on a planned stop.
-    AttemptPatience patienceFor(RequestServices& services, const std::shared_ptr<RequestState>& request, const RetryTerms& terms)
+    // reason to end a request sooner, least of all on a planned stop. The server that takes over is kept in \p reserved.
+    AttemptPatience patienceFor(RequestServices& services, const std::shared_ptr<RequestState>& request, const std::shared_ptr<Chosen>& reserved)
     {
         const MonotonicTime now = services.clock.now();
         const auto share = std::chrono::duration_cast<Duration>((request->deadline - now) * patience);
@@ -184,14 +290,24 @@
         AttemptPatience result { now + std::max({ share, usual, Duration(leastPatience) }), nullptr };
         if (!request->route->repeatable || result.stalledAt >= request->deadline)
             return result;
-        result.giveUp = [&services, request, terms] {
-            return !services.draining && choose(services, *request) && mayTryAgain(services, *request, terms);
+        result.giveUp = [&services, request, reserved](std::function<bool()> giveUp) {
+            if (services.draining || !mayTryAgain(services, *request))
+                return;
+            net::co_spawn(
+                services.context, [&services, request]() -> net::awaitable<Chosen> { co_return co_await chooseShared(services, request); }, [&services, reserved, giveUp = std::move(giveUp)](const std::exception_ptr& failure, Chosen chosen) {
+                    if (failure || !chosen.server)
+                        return;
+                    if (giveUp())
+                        *reserved = std::move(chosen);
+                    else
+                        giveBack(services, chosen);
+                });
         };
         return result;
     }
 
     // The last attempt that may have run decides what can still be promised.
-    RequestEnd endOf(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode last)
+    RequestEnd endOf(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode last, std::chrono::milliseconds roomAfter)
     {
         if (best && best->end == AttemptEnd::Answered)
             return { ResultCode::Ok, std::move(best->answer) };
@@ -199,32 +315,43 @@
             return refuse(services, request, best->code);
         if (last == ResultCode::ConnectFailed)
             last = ResultCode::NoBackendServer;
-        return refuse(services, request, last, sometime(services, shortestReturn));
+        return refuse(services, request, last, sometime(services, std::max(roomAfter, shortestReturn)));
     }
 
     net::awaitable<RequestEnd> dispatch(RequestServices& services, std::shared_ptr<RequestState> request)
     {
-        const RetryTerms terms = retryTerms(services.settings.bounds, services.directory.live(services.clock.now()).size());
-        earn(services.retries[request->service], terms, services.clock.now());
+        earn(services.retries[request->service], ownRetryTerms(services.settings.bounds), services.clock.now());
         std::optional<AttemptReport> best;
         ResultCode last = services.backends.of(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded;
-        bool paid = true;
+        std::chrono::milliseconds roomAfter { 0 };
+        const auto reserved = std::make_shared<Chosen>();
         for (int connections = 0; connections < mostConnections; ++connections) {
-            BackendStatePtr server = choose(services, *request);
-            if (!server || (!paid && !mayTryAgain(services, *request, terms)))
+            Chosen chosen = std::exchange(*reserved, {});
+            if (!chosen.server)
+                chosen = co_await chooseShared(services, request);
+            roomAfter = chosen.roomAfter;
+            if (!chosen.server) {
+                logNotRepeated(*request, chosen.allowanceUsed ? "retry-allowance-used" : "no-room");
                 break;
-            request->tried.push_back(server->server.id);
-            AttemptReport report = co_await attempt(services, request, server, patienceFor(services, request, terms));
+            }
+            request->tried.push_back(chosen.server->server.id);
+            AttemptReport report = co_await attempt(services, request, chosen.server, patienceFor(services, request, reserved));
+            if (chosen.ticket)
+                services.placement.report(*chosen.ticket, report.outcome);
             last = report.code;
-            paid = report.givenUp;
             const bool final = isFinal(*request, report);
             // An answer of the server's own is better than none; "may have run" is never forgotten.
             if (report.end == AttemptEnd::Answered || (report.end == AttemptEnd::Unknown && !best))
                 best = std::move(report);
             if (final)
                 break;
+            if (!reserved->server && !mayTryAgain(services, *request)) {
+                logNotRepeated(*request, "attempts-or-time-used");
+                break;
+            }
         }
-        co_return endOf(services, *request, std::move(best), last);
+        giveBack(services, *reserved);
+        co_return endOf(services, *request, std::move(best), last, roomAfter);
     }
 
 } // namespace
@@ -256,8 +383,8 @@
         co_return refuseAbsent(services, *request, code);
     setDeadline(services, *request);
     request->service = chooseService(*request->route, services.random());
-    if (services.backends.of(request->service).empty() || !choose(services, *request))
-        co_return refuse(services, *request, services.backends.of(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded, sometime(services, shortestReturn));
+    if (services.backends.of(request->service).empty())
+        co_return refuse(services, *request, ResultCode::NoBackendServer, sometime(services, shortestReturn));
     if (request->account && request->account->rate.value > 0) {
         const DrawResult drawn = co_await takeToken(services, *request->account);
         if (drawn.granted == 0)
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -27,6 +27,7 @@
     FleetDirectory& directory;
     AccountTokens& tokens;
     ServerWarnings& warnings;
+    SharedPlacement& placement;
     BackendTable& backends;
     Metrics& metrics;
     std::map<ServiceId, RetryAllowance>& retries;
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.cpp
@@ -44,30 +44,49 @@
         BackendStatePtr m_state;
     };
 
-    /// \brief Asks whether to give up an attempt once it is stalled.
+    /// \brief Has an attempt given up once it is stalled and another server is ready to take over.
     class StallWatch {
     public:
         StallWatch(RequestServices& services, const UpstreamConnectionPtr& connection, AttemptPatience patience)
             : m_timer(services.context)
-            , m_gaveUp(std::make_shared<bool>(false))
+            , m_state(std::make_shared<State>(State::Waiting))
         {
             if (!patience.giveUp)
                 return;
             m_timer.expires_at(patience.stalledAt);
-            m_timer.async_wait([weak = std::weak_ptr(connection), gaveUp = m_gaveUp, giveUp = std::move(patience.giveUp)](const boost::system::error_code& error) {
-                const auto open = weak.lock();
-                if (error || !open || !giveUp())
+            m_timer.async_wait([weak = std::weak_ptr(connection), state = m_state, giveUp = std::move(patience.giveUp)](const boost::system::error_code& error) {
+                if (error)
                     return;
-                *gaveUp = true;
-                open->stream.cancel();
+                // The other server is found later: by then the connection may serve another request.
+                giveUp([weak, state] {
+                    const auto open = weak.lock();
+                    if (!open || *state != State::Waiting)
+                        return false;
+                    *state = State::GivenUp;
+                    open->stream.cancel();
+                    return true;
+                });
             });
         }
+        ~StallWatch()
+        {
+            if (*m_state == State::Waiting)
+                *m_state = State::Over;
+        }
+        StallWatch(const StallWatch&) = delete;
+        StallWatch& operator=(const StallWatch&) = delete;
 
-        bool gaveUp() const { return *m_gaveUp; }
+        bool gaveUp() const { return *m_state == State::GivenUp; }
 
     private:
+        enum class State {
+            Waiting,
+            GivenUp,
+            Over,
+        };
+
         net::steady_timer m_timer;
-        std::shared_ptr<bool> m_gaveUp;
+        std::shared_ptr<State> m_state;
     };
 
     bool mayRepeat(const RequestState& request) { return request.route->repeatable; }
@@ -197,54 +216,79 @@
         }
     }
 
-    void takeLoad(const RequestServices& services, BackendState& server, const AnswerMessage& answer)
+    /// \returns the requests that the server says to have, the one that it has just answered included.
+    std::optional<double> reportedLoad(const HeaderNames& names, const AnswerMessage& answer)
     {
-        const auto field = answer[services.names.load];
-        if (field.empty())
-            return;
-        const auto load = services.names.parseLoad({ field.data(), field.size() });
-        if (!load)
-            return;
-        // The server counts all that it has; what this host has there is known better.
-        const double reported = load->running + load->waiting;
-        server.others.inFlight = std::max(0.0, reported - server.own.inFlight);
+        const auto field = answer[names.load];
+        const auto load = field.empty() ? std::nullopt : names.parseLoad({ field.data(), field.size() });
+        return load ? std::optional<double>(load->running + load->waiting) : std::nullopt;
+    }
+
+    PlacementOutcome outcomeOf(PlacementEnd end, const RequestServices& services, MonotonicTime begunAt)
+    {
+        PlacementOutcome outcome;
+        outcome.end = end;
+        outcome.took = std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - begunAt);
+        return outcome;
     }
 
     AttemptReport reportOf(RequestServices& services, const RequestState& request, BackendState& server, AnswerMessage answer, MonotonicTime begunAt)
     {
         const HeaderNames& names = services.names;
         const MonotonicTime now = services.clock.now();
-        takeLoad(services, server, answer);
+        const auto load = reportedLoad(names, answer);
+        // The server counts all that it has; what this host has there is known better.
+        if (load)
+            server.others.inFlight = std::max(0.0, *load - server.own.inFlight);
         noteReachable(server);
+        AttemptReport report;
+        report.outcome = outcomeOf(PlacementEnd::Failed, services, begunAt);
+        if (load)
+            report.outcome.reportedLoad = std::max(0.0, *load - 1);
         if (!answer[names.notRun].empty() || answer.result_int() == misdirectedStatus) {
             const bool misdirected = answer.result_int() == misdirectedStatus;
             server.fullUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(fullBackOff));
             noteOutcome(services, server, AttemptEnd::NotRun, answer.result_int(), begunAt);
             log(Event("server-refused").with("request", request.id).with("server", server.server.id).with("status", static_cast<long long>(answer.result_int())));
-            return { AttemptEnd::NotRun, ResultCode::Overloaded, {} };
+            report.outcome.end = misdirected ? PlacementEnd::Failed : PlacementEnd::Refused;
+            report.end = AttemptEnd::NotRun;
+            report.code = ResultCode::Overloaded;
+            return report;
         }
         if (isWrong(names, answer)) {
             noteOutcome(services, server, AttemptEnd::Unknown, answer.result_int(), begunAt);
-            return { AttemptEnd::Unknown, ResultCode::UpstreamWrongAnswer, {} };
+            report.end = AttemptEnd::Unknown;
+            report.code = ResultCode::UpstreamWrongAnswer;
+            return report;
         }
         noteOutcome(services, server, AttemptEnd::Answered, answer.result_int(), begunAt);
         if (answer.result_int() >= 500)
             log(Event("server-failed").with("request", request.id).with("server", server.server.id).with("status", static_cast<long long>(answer.result_int())));
-        return { AttemptEnd::Answered, ResultCode::Ok, std::move(answer) };
+        else
+            report.outcome.end = PlacementEnd::Served;
+        report.end = AttemptEnd::Answered;
+        report.code = ResultCode::Ok;
+        report.answer = std::move(answer);
+        return report;
     }
 
     AttemptReport brokenOff(RequestServices& services, const RequestState& request, BackendState& server, const boost::system::error_code& error, MonotonicTime begunAt)
     {
         const bool timedOut = error == beast::error::timeout;
+        AttemptReport report;
+        report.end = AttemptEnd::Unknown;
+        report.code = timedOut ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken;
         if (!request.callerGone) {
+            const bool unreached = error == boost::system::errc::timed_out;
+            report.outcome = outcomeOf(unreached ? PlacementEnd::Unreached : PlacementEnd::Failed, services, begunAt);
             // Bytes that the server did not acknowledge say something about the way to it, not about the server.
-            if (error == boost::system::errc::timed_out)
+            if (unreached)
                 noteUnreachable(server, services.clock.now());
             else
                 noteOutcome(services, server, AttemptEnd::Unknown, 0, begunAt);
             log(Event("attempt-failed").with("request", request.id).with("server", server.server.id).with("reason", error.message()).with("took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - begunAt).count()));
         }
-        return { AttemptEnd::Unknown, timedOut ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken, {} };
+        return report;
     }
 
 } // namespace
@@ -258,13 +302,16 @@
     if (!connection)
         connection = co_await connect(services, *request, *server, until);
     if (!connection) {
-        if (!request->callerGone)
+        AttemptReport report;
+        if (!request->callerGone) {
             noteUnreachable(*server, services.clock.now());
-        co_return AttemptReport {};
+            report.outcome.end = PlacementEnd::Unreached;
+        }
+        co_return report;
     }
     // The server may have begun to leave, and the caller may have gone, while the connection was opened.
     if (!server->inUse || request->callerGone)
-        co_return AttemptReport { AttemptEnd::NotSent, ResultCode::NoBackendServer, {} };
+        co_return AttemptReport { AttemptEnd::NotSent, ResultCode::NoBackendServer, {}, {} };
     request->cancelAttempt = [weak = std::weak_ptr(connection)] {
         if (const auto open = weak.lock())
             open->stream.cancel();
@@ -282,9 +329,7 @@
     request->cancelAttempt = nullptr;
     if (error || !whole) {
         connection->stream.close();
-        AttemptReport report = brokenOff(services, *request, *server, watch.gaveUp() ? beast::error::timeout : error, begunAt);
-        report.givenUp = watch.gaveUp();
-        co_return report;
+        co_return brokenOff(services, *request, *server, watch.gaveUp() ? beast::error::timeout : error, begunAt);
     }
     const bool reusable = whole->keepsConnection && *written && connection->buffer.size() == 0;
     if (reusable)
--- a/packages/gateway/lacewingsail/src/Gateway/Upstream.h
+++ b/packages/gateway/lacewingsail/src/Gateway/Upstream.h
@@ -21,17 +21,17 @@
     AttemptEnd end = AttemptEnd::NotSent;
     ResultCode code = ResultCode::ConnectFailed;
     AnswerMessage answer;
-    /// It was given up for another server.
-    bool givenUp = false;
+    /// What it tells the host that placed it.
+    PlacementOutcome outcome;
 };
 
 /// \brief How long an attempt waits for an answer.
 struct AttemptPatience {
     /// When it counts as stalled.
     MonotonicTime stalledAt {};
-    /// Called once it is stalled: whether it is to be given up for another server. Otherwise it waits until the request's
-    /// deadline.
-    std::function<bool()> giveUp;
+    /// Called once it is stalled, with a function that gives it up for another server; that one returns false if the attempt
+    /// has ended meanwhile. If it is not called, the attempt waits until the request's deadline. Empty if it always does.
+    std::function<void(std::function<bool()>)> giveUp;
 };
 
 /// \brief Sends the request to one backend server and reads its whole answer.
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/KeptServer.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "FailureOdds.h"
+
+#include <lacewingsail/World.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace lacewingsail {
+
+/// \brief A request that its keeper has placed and that has not ended, as far as the keeper knows.
+struct OpenPlacement {
+    std::uint64_t number = 0;
+    MonotonicTime placedAt {};
+    /// When it has ended in any case.
+    MonotonicTime lapsesAt {};
+    /// How long it was expected to take on a server of the usual speed.
+    std::chrono::duration<double> expected { 0 };
+    /// Latency objective of its route: tells kinds of work apart.
+    std::chrono::milliseconds objective { 0 };
+};
+
+/// \brief A backend server as the host that places the requests for it knows it.
+struct KeptServer {
+    RegisteredServer server;
+    MonotonicTime warmUntil {};
+    std::vector<OpenPlacement> open;
+    /// Requests that the server reports beyond \ref open, smoothed; below zero if placed requests have ended untold.
+    double unplaced = 0;
+    MonotonicTime unplacedAt {};
+    FailureOdds odds;
+    /// Its time to answer over the usual one, smoothed.
+    double slowness = 1;
+    MonotonicTime slownessAt {};
+    /// It refused a request as full a moment ago.
+    MonotonicTime fullUntil {};
+    /// When a request was last placed on it.
+    MonotonicTime placedAt {};
+    bool answered = false;
+};
+
+/// \brief Usual times of a service's requests without waiting, by latency objective.
+using WorkTimes = std::map<std::chrono::milliseconds, std::chrono::duration<double>>;
+
+/// \brief What a request asks of the host that places it.
+struct PlacementDemand {
+    ServiceId service;
+    /// Servers that it may not be sent to: tried already, or not reached from its host.
+    std::vector<BackendServerId> excluded;
+    std::chrono::milliseconds objective { 0 };
+    /// Time until its caller gives up.
+    std::chrono::milliseconds term { 0 };
+    /// Requests for each slot, queued ones included, beyond which a server gets no more.
+    double mostFill = 2;
+    /// Whether another attempt can follow a failure, so that it can try a server that may fail.
+    bool expendable = false;
+    /// Whether it has been sent to another server before, so that it needs a further attempt of the service's allowance.
+    bool repeat = false;
+};
+
+/// \brief How a placed request ended.
+enum class PlacementEnd : unsigned char {
+    Served,
+    Failed,
+    /// The server said that it has no room.
+    Refused,
+    /// The way from the host to the server failed.
+    Unreached,
+    /// It says nothing of the server: the caller left, or it was never sent.
+    Void,
+};
+
+/// \brief Outcome of a placed request.
+struct PlacementOutcome {
+    BackendServerId server;
+    std::uint64_t number = 0;
+    PlacementEnd end = PlacementEnd::Void;
+    std::chrono::milliseconds took { 0 };
+    /// Requests that the server said to have, this one no longer included; nothing if it said nothing.
+    std::optional<double> reportedLoad;
+};
+
+/// \brief The server that suits a request best.
+struct KeptChoice {
+    /// Position among the servers.
+    std::size_t position = 0;
+    /// Part of the request's benefit that is expected to be lost there.
+    double loss = 0;
+};
+
+/// \returns the requests that the server is believed to have.
+double loadOf(const KeptServer&, MonotonicTime now);
+
+/// \brief Chooses the server on which the request is worth most: the chance of a failure and the expected time to answer,
+/// against its objective, decide.
+///
+/// Answers load of a third to all of the slots, placed by many hosts each of which sees one request in a hundred: the one
+/// host that places all requests for these servers knows how many each has at the moment, and the order of their outcomes.
+/// Servers that may be in a spell of failures get only requests that may be repeated, about one a second, until they serve
+/// them, as long as no more than the floor allows are out of use. Every server gets a request a second if there are enough:
+/// one that nothing is known of cannot be told from one that fails.
+/// Linear in the number of servers and of their open requests; allocates nothing.
+/// \param floorShare share of the servers that doubts may not take out of use.
+/// \param random uniformly distributed in [0, 1); breaks ties.
+/// \returns nothing if no server has room or could answer in time.
+std::optional<KeptChoice> chooseKept(std::span<KeptServer* const> servers, const PlacementDemand&, const WorkTimes&, double floorShare, MonotonicTime now, double random);
+
+/// \brief Notes that the request with this number has been placed on \p server.
+void place(KeptServer& server, const PlacementDemand&, const WorkTimes&, std::uint64_t number, MonotonicTime now);
+
+/// \brief Notes how a request ended that was placed on \p server. \returns false if the request is not known (any more).
+bool settle(KeptServer& server, WorkTimes&, const PlacementOutcome&, MonotonicTime now);
+
+} // namespace lacewingsail
--- /dev/null
+++ b/packages/policy/lacewingsail/src/Policy/PlacementCells.cpp
@@ -0,0 +1,21 @@
+#include <lacewingsail/Policy.h>
+
+#include <algorithm>
+
+namespace lacewingsail {
+
+namespace internal {
+
+    // About a hundred slots and, on the users' sheets, a hundred requests a second at a third of the slots.
+    constexpr std::size_t serversPerCell = 16;
+
+} // namespace internal
+
+std::uint32_t cellCount(std::size_t servers)
+{
+    return static_cast<std::uint32_t>(std::max<std::size_t>(1, (servers + internal::serversPerCell / 2) / internal::serversPerCell));
+}
+
+std::uint32_t cellOf(const BackendServerId& id, std::uint32_t count) { return static_cast<std::uint32_t>(stableHash(id.value()) % std::max(count, 1U)); }
+
+} // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/RetryAllowance.cpp
+++ b/packages/policy/lacewingsail/src/Policy/RetryAllowance.cpp
@@ -1,23 +1,27 @@
 #include <lacewingsail/Policy.h>
 
 #include <algorithm>
+#include <cassert>
 
 namespace lacewingsail {
 
 namespace internal {
 
-    // Part of the bound that is used: arrivals that cross a window's edge, and hosts that do not know of each other yet,
-    // need the rest.
-    constexpr double usedRatio = 0.9;
-    // The slack of a window pays for what is saved up at its begin and for the steady income in it, half each.
-    constexpr double usedSlack = 0.4;
-    // Below this a host could never send a request again, however many hosts share the slack.
-    constexpr double leastSaved = 1.0;
+    // Parts of the operators' bound that keepers use, of its ratio, of its slack at once, and of its slack in each window.
+    // What a window's edge and hosts' own allowances need is left.
+    constexpr double keeperRatio = 0.7;
+    constexpr double keeperSaved = 0.25;
+    constexpr double keeperIncome = 0.1;
+    // Hosts' own allowances are for the moments in which no keeper answers: a tenth of the ratio, saved up to one attempt.
+    constexpr double ownRatio = 0.1;
+    constexpr double ownSaved = 1.0;
+    // Left for requests that have failed when others would only try an uncertain server.
+    constexpr double reserve = 2.0;
 
     void refill(RetryAllowance& allowance, const RetryTerms& terms, MonotonicTime now)
     {
         if (!allowance.begun) {
-            allowance = { terms.most, true, now };
+            allowance = { 0, true, now };
             return;
         }
         const std::chrono::duration<double> elapsed = now - allowance.refilledAt;
@@ -27,11 +31,20 @@
 
 } // namespace internal
 
-RetryTerms retryTerms(const GatewayBounds& bounds, std::size_t hosts)
+RetryTerms keeperRetryTerms(const GatewayBounds& bounds, double share)
 {
-    const double share = internal::usedSlack * bounds.retrySlack / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    assert(share >= 0 && share <= 1);
     const std::chrono::duration<double> window = bounds.retryWindow;
-    return { internal::usedRatio * bounds.retryRatio, share / std::max(window.count(), 1.0), std::max(internal::leastSaved, share) };
+    const double slack = bounds.retrySlack * share;
+    return { internal::keeperRatio * bounds.retryRatio, internal::keeperIncome * slack / std::max(window.count(), 1.0), std::max(1.0, internal::keeperSaved * slack) };
+}
+
+RetryTerms ownRetryTerms(const GatewayBounds& bounds) { return { internal::ownRatio * bounds.retryRatio, 0, internal::ownSaved }; }
+
+bool hasReserve(RetryAllowance& allowance, const RetryTerms& terms, MonotonicTime now)
+{
+    internal::refill(allowance, terms, now);
+    return allowance.available >= internal::reserve;
 }
 
 void earn(RetryAllowance& allowance, const RetryTerms& terms, MonotonicTime now)
--- a/packages/policy/lacewingsail/src/Policy/RetryAllowance.h
+++ b/packages/policy/lacewingsail/src/Policy/RetryAllowance.h
@@ -4,8 +4,10 @@
 
 namespace lacewingsail {
 
-/// \brief One host's part of the further attempts that a service's requests may make.
+/// \brief A part of the further attempts that a service's requests may make: that of the host which places the requests of
+/// a cell, or the small one of a host that places by its own sight while no such host answers.
 struct RetryAllowance {
+    /// Nothing is saved at first: another host may have used what was there a moment ago.
     double available = 0;
     bool begun = false;
     MonotonicTime refilledAt {};
@@ -20,12 +22,19 @@
     double most = 0;
 };
 
-/// \returns the terms under which all \p hosts together stay below the bounds of the operators.
-RetryTerms retryTerms(const GatewayBounds&, std::size_t hosts);
+/// \returns the terms of a host that places the requests for \p share of a service's servers, 0 to 1. All such hosts, and
+/// all hosts under ownRetryTerms(), together stay below the bounds of the operators.
+RetryTerms keeperRetryTerms(const GatewayBounds&, double share);
+
+/// \returns the terms of a host for requests that it places by its own sight.
+RetryTerms ownRetryTerms(const GatewayBounds&);
 
 /// \brief Notes a request, which earns a share of a further attempt.
 void earn(RetryAllowance&, const RetryTerms&, MonotonicTime now);
 
+/// \returns whether further attempts are left beyond a reserve, so that a request may try an uncertain server.
+bool hasReserve(RetryAllowance&, const RetryTerms&, MonotonicTime now);
+
 /// \brief Takes one further attempt. \returns false, and takes nothing, if none is left.
 bool take(RetryAllowance&, const RetryTerms&, MonotonicTime now);
 
