--- a/packages/policy/lacewingsail/src/Policy/Relays.h
+++ b/packages/policy/lacewingsail/src/Policy/Relays.h
@@ -14,7 +14,7 @@
     HostId id;
     ZoneId zone;
     Endpoint peers;
-    /// What it has of a processor core; zero if that is not known.
+    /// What it has of a processor core; zero if that is not known. No choice rests on it yet.
     double processorShare = 0;
 
     auto operator<=>(const LiveHost&) const = default;
@@ -23,9 +23,9 @@
 /// \brief Relays that each availability zone has: a second one for the failure of the first.
 constexpr std::size_t relaysPerZone = 2;
 
-/// \brief Ranks \p hosts for \p subject by rendezvous hashing: all hosts that know the same hosts get the same order. Hosts
-/// with at least half as much of a processor as the strongest come first: others answer too late for duties that requests
-/// wait for. Allocates.
+/// \brief Ranks \p hosts for \p subject by rendezvous hashing: all hosts that know the same hosts get the same order.
+/// Allocates.
+/// \returns the \p most first ones, or all if there are fewer.
 std::vector<const LiveHost*> rankHosts(std::span<const LiveHost> hosts, std::string_view subject, std::size_t most);
 
 /// \returns the relays of \p zone, first choice first.
