--- a/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.cpp
@@ -4,13 +4,14 @@
 
 namespace lacewingsail {
 
-bool ActiveConfiguration::applyIfNewer(const std::string& text)
+bool ActiveConfiguration::applyIfNewer(const std::string& text, std::string_view source)
 {
     if (text == m_text)
         return false;
+    const MonotonicTime startedAt = m_clock.now();
     auto published = m_decoder(text);
     if (!published) {
-        log(Event("configuration-malformed").with("bytes", static_cast<long long>(text.size())));
+        log(Event("configuration-malformed").with("source", source).with("bytes", static_cast<long long>(text.size())));
         return false;
     }
     if (published->version <= version())
@@ -23,7 +24,12 @@
     for (const ClientAccount& account : configuration.accounts)
         next->accounts.emplace(account.id, &account);
     m_maxIdleTimeout = std::max(m_maxIdleTimeout, next->published.limits.idleTimeout);
-    log(Event("configuration-activated").with("version", static_cast<long long>(number(next->published.version))).with("previous_version", static_cast<long long>(number(version()))).with("routes", static_cast<long long>(configuration.routes.size())).with("accounts", static_cast<long long>(configuration.accounts.size())));
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now() - startedAt);
+    Event event("configuration-activated");
+    event.with("version", static_cast<long long>(number(next->published.version))).with("previous_version", static_cast<long long>(number(version())));
+    event.with("source", source).with("bytes", static_cast<long long>(text.size())).with("took_ms", took.count());
+    event.with("routes", static_cast<long long>(configuration.routes.size())).with("accounts", static_cast<long long>(configuration.accounts.size()));
+    log(event);
     m_current = std::move(next);
     m_text = text;
     return true;
--- a/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.h
+++ b/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lacewingsail {
@@ -33,14 +34,18 @@
 /// \brief The newest configuration that this host has received. Never replaced by an older version.
 class ActiveConfiguration {
 public:
-    explicit ActiveConfiguration(ConfigurationDecoder decoder)
+    ActiveConfiguration(ConfigurationDecoder decoder, const Clock& clock)
         : m_decoder(std::move(decoder))
+        , m_clock(clock)
     {
     }
 
     /// \brief Decodes \p text and activates it if its version is higher than the current one. Malformed text is logged and
-    /// ignored. \returns whether it was activated.
-    bool applyIfNewer(const std::string& text);
+    /// ignored. \param source the host that sent it, or \ref storeSource; logged. \returns whether it was activated.
+    bool applyIfNewer(const std::string& text, std::string_view source);
+
+    /// Source of a configuration that was read from the store.
+    static constexpr std::string_view storeSource = "store";
 
     ConfigurationVersion version() const { return m_current ? m_current->published.version : ConfigurationVersion::None; }
 
@@ -55,6 +60,7 @@
 
 private:
     ConfigurationDecoder m_decoder;
+    const Clock& m_clock;
     std::shared_ptr<const CompiledConfiguration> m_current;
     std::string m_text;
     std::chrono::milliseconds m_maxIdleTimeout { 0 };
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
@@ -138,7 +138,7 @@
     bool changed = false;
     for (const KeyedRecord& record : result.records) {
         if (record.value)
-            changed = m_active.applyIfNewer(*record.value) || changed;
+            changed = m_active.applyIfNewer(*record.value, ActiveConfiguration::storeSource) || changed;
     }
     return changed;
 }
--- a/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.cpp
@@ -1,5 +1,7 @@
 #include <lacewingsail/Exchange.h>
 
+#include <lacewingsail/Observe.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -14,6 +16,7 @@
     constexpr std::chrono::milliseconds blockLifetime { 800 };
     constexpr int maxBlockSize = 5;
     constexpr std::chrono::duration<double> demandTimeConstant { 1.0 };
+    constexpr std::chrono::seconds grantLogInterval { 1 };
 
 } // namespace internal
 
@@ -35,7 +38,24 @@
 
 TokenGrant AccountRateLimiter::grantLocally(const ClientAccount& account, int wanted, CoordinatorRank rank)
 {
-    return grantTokens(m_accounts[account.id].bucket, account.rate, account.burst, wanted, rank, m_clock.now());
+    const TokenGrant result = grantTokens(m_accounts[account.id].bucket, account.rate, account.burst, wanted, rank, m_clock.now());
+    logGrant(account.id, result, rank);
+    return result;
+}
+
+// Grants of the coordinator are the normal case and leave no line.
+void AccountRateLimiter::logGrant(const ClientAccountId& account, const TokenGrant& result, CoordinatorRank rank)
+{
+    if (result.granted == 0 || rank == CoordinatorRank { 0 })
+        return;
+    const MonotonicTime now = m_clock.now();
+    AccountState& state = m_accounts[account];
+    state.grantsToLog += result.granted;
+    if (now - state.grantsLoggedAt < internal::grantLogInterval)
+        return;
+    log(Event("account-tokens-granted").with("account", account).with("rank", static_cast<long long>(rank)).with("tokens", state.grantsToLog));
+    state.grantsToLog = 0;
+    state.grantsLoggedAt = now;
 }
 
 std::optional<TokenGrant> AccountRateLimiter::grant(const TokenDemand& demand)
@@ -87,6 +107,7 @@
     m_calls->requestTokens(coordinator.peerEndpoint, { account, wanted }, [this, account, coordinators = std::move(coordinators), coordinator, rank, wanted, callback = std::move(callback)](std::optional<TokenGrant> result) mutable {
         if (result)
             return finish(account, *result, callback);
+        log(Event("account-coordinator-timeout").with("account", account).with("host", coordinator.id).with("rank", static_cast<long long>(rank)));
         m_directory.recordCallFailure(coordinator.id, m_clock.now());
         requestTokens(account, std::move(coordinators), rank + 1, wanted, std::move(callback));
     });
--- a/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.h
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.h
@@ -40,10 +40,14 @@
         /// Requests per second, exponentially averaged.
         double demand = 0;
         MonotonicTime demandUpdatedAt {};
+        /// Tokens granted since \ref grantsLoggedAt without being the account's coordinator.
+        int grantsToLog = 0;
+        MonotonicTime grantsLoggedAt {};
     };
 
     int blockSize(AccountState&) const;
     TokenGrant grantLocally(const ClientAccount&, int wanted, CoordinatorRank);
+    void logGrant(const ClientAccountId&, const TokenGrant&, CoordinatorRank);
     void requestTokens(const ClientAccountId&, std::vector<LiveHost> coordinators, std::size_t rank, int wanted, Callback);
     void finish(const ClientAccountId&, TokenGrant, const Callback&);
 
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -2,6 +2,8 @@
 
 #include "ExchangeCodec.h"
 
+#include <lacewingsail/Observe.h>
+
 #include <algorithm>
 
 namespace lacewingsail {
@@ -152,10 +154,10 @@
     }
 }
 
-void FleetExchange::applyUpdate(const protocol::FleetNews& update)
+void FleetExchange::applyUpdate(const protocol::FleetNews& update, const std::string& sender)
 {
     const MonotonicTime now = m_parts.clock.now();
-    bool changed = !update.configuration().empty() && m_parts.active.applyIfNewer(update.configuration());
+    bool changed = !update.configuration().empty() && m_parts.active.applyIfNewer(update.configuration(), sender);
     std::vector<ServerChange> changes;
     for (const protocol::ServerNews& message : update.servers()) {
         auto change = internal::decode(message);
@@ -203,8 +205,11 @@
                 internal::encode(zone, now, *request->add_zones());
         }
     }
-    m_calls->exchange(target, std::move(request), [this, target](const protocol::ExchangeReply* reply) {
+    const std::size_t requestBytes = request->ByteSizeLong();
+    const std::size_t configurationBytes = request->news().configuration().size();
+    m_calls->exchange(target, std::move(request), [this, target, now, requestBytes, configurationBytes](const protocol::ExchangeReply* reply) {
         if (!reply) {
+            log(Event("exchange-failed").with("host", text(target)).with("request_bytes", static_cast<long long>(requestBytes)).with("configuration_bytes", static_cast<long long>(configurationBytes)).with("took_ms", internal::since(m_parts.clock.now(), now).count()));
             for (const auto& [id, entry] : m_parts.directory.entries()) {
                 if (entry.host.peerEndpoint == target)
                     m_parts.directory.recordCallFailure(id, m_parts.clock.now());
@@ -214,7 +219,7 @@
         }
         m_peerStates[target] = { ConfigurationVersion { reply->news().configuration_version() }, LogOffset { reply->news().servers_end() } };
         applyHosts(*reply);
-        applyUpdate(reply->news());
+        applyUpdate(reply->news(), reply->sender().id());
         for (const protocol::UseOfZone& zone : reply->zones())
             m_parts.stats.setZoneTotals(internal::decode(zone, m_parts.clock.now()), m_parts.clock.now());
     });
@@ -224,7 +229,7 @@
 {
     const MonotonicTime now = m_parts.clock.now();
     applyHosts(request);
-    applyUpdate(request.news());
+    applyUpdate(request.news(), request.sender().id());
     const auto sender = internal::decode(request.sender());
     if (sender && sender->zone == m_parts.directory.self().zone)
         m_parts.stats.setHost(sender->id, internal::decode(request.use()), now);
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -69,7 +69,7 @@
     std::vector<Endpoint> callTargets() const;
     void call(const Endpoint&, bool includeHosts);
     void fillUpdate(const PeerState&, protocol::FleetNews&) const;
-    void applyUpdate(const protocol::FleetNews&);
+    void applyUpdate(const protocol::FleetNews&, const std::string& sender);
     template <typename Message>
     void applyHosts(const Message&);
     template <typename Message>
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -43,7 +43,7 @@
     Metrics metrics { internal::maxMetricSeries };
     std::atomic<bool> ready { false };
     std::mt19937_64 random { std::random_device {}() };
-    ActiveConfiguration active { parts.decodeConfiguration };
+    ActiveConfiguration active { parts.decodeConfiguration, clock };
     ServerRegistry registry;
     internal::BackendTable backends { clock };
     internal::AsioHttpCalls storeCalls { loop.context(), settings.store };
--- a/tests/AccountRateLimiterTest.cpp
+++ b/tests/AccountRateLimiterTest.cpp
@@ -11,23 +11,24 @@
 struct AccountRateLimiterFixture {
     ManualClock clock;
     ActiveConfiguration active { [](const std::string& text) -> std::optional<PublishedConfiguration> {
-        PublishedConfiguration published;
-        published.version = ConfigurationVersion { text.size() };
-        ClientAccount account;
-        account.id = ClientAccountId("norrland");
-        account.rate = TokensPerSecond { 10 };
-        account.burst = wholeTokens(10);
-        if (text.front() == 'a')
-            published.configuration.accounts = { account };
-        return published;
-    } };
+                                    PublishedConfiguration published;
+                                    published.version = ConfigurationVersion { text.size() };
+                                    ClientAccount account;
+                                    account.id = ClientAccountId("norrland");
+                                    account.rate = TokensPerSecond { 10 };
+                                    account.burst = wholeTokens(10);
+                                    if (text.front() == 'a')
+                                        published.configuration.accounts = { account };
+                                    return published;
+                                },
+        clock };
     FleetDirectory directory { LiveHost { HostId("self"), ZoneId("a"), { "10.0.0.1", 80 } } };
     AccountRateLimiter limiter { directory, active, clock };
 
     AccountRateLimiterFixture()
     {
         clock.advance(1h);
-        active.applyIfNewer("a");
+        active.applyIfNewer("a", "store");
     }
 
     ClientAccount account() const { return active.current()->published.configuration.accounts.front(); }
@@ -65,7 +66,7 @@
 TEST_CASE_FIXTURE(AccountRateLimiterFixture, "acquire, account removed by a newer configuration, calls back once")
 {
     const ClientAccount removed = account();
-    active.applyIfNewer("bb");
+    active.applyIfNewer("bb", "store");
     int callbacks = 0;
     limiter.acquire(removed, [&](TokenGrant) { ++callbacks; });
     CHECK(callbacks == 1);
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -31,12 +31,13 @@
     ManualClock clock;
     ScriptedStore store;
     ActiveConfiguration active { [](const std::string& text) -> std::optional<PublishedConfiguration> {
-        if (text.empty() || text.front() != 'v')
-            return std::nullopt;
-        PublishedConfiguration published;
-        published.version = ConfigurationVersion { std::stoull(text.substr(1)) };
-        return published;
-    } };
+                                    if (text.empty() || text.front() != 'v')
+                                        return std::nullopt;
+                                    PublishedConfiguration published;
+                                    published.version = ConfigurationVersion { std::stoull(text.substr(1)) };
+                                    return published;
+                                },
+        clock };
     ServerRegistry registry;
     int changes = 0;
     StoreFollower follower { store, active, registry, [](const BackendServerId& id, const std::string& text) -> std::optional<RegisteredServer> {
