A response without end no longer takes the host's memory

Callers would have seen their host killed with all its requests: a backend server that never stops sending, in a head or a body, was read until 64 MiB per response, for any number of responses at once, and interim (1xx) responses were skipped without end.

Cause: the limit was one for each response and none for all of them together.

Now responses that are being read share 32 MiB; beyond that each one above an equal part of it fails, so that other servers' responses are still read. After eight interim responses an attempt fails. A failed attempt closes the connection, counts against the server and leaves the line attempt-failed, as before.

Evidence: the new case of the gateway test, nine kinds of endless responses on connections that were used before, twelve callers at once.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -10,8 +10,7 @@
 namespace {
 
     constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
-    // Responses are held in memory completely.
-    constexpr std::uint64_t maxResponseBytes = 64 * 1024 * 1024;
+    constexpr int maxInterimResponses = 8;
     // Many round trips between zones (2 ms), and several times what connecting to a server at full load takes.
     constexpr std::chrono::milliseconds connectTimeout { 250 };
     // Data unacknowledged for this long means that the network path is down: two retransmissions were lost as well.
@@ -151,15 +150,27 @@
         bool keepsConnection = false;
     };
 
+    // Reads step by step, as the memory for all responses together is limited.
+    net::awaitable<void> readWithin(ResponseBuffers& buffers, BackendConnection& connection, ResponseParser& parser, boost::system::error_code& error)
+    {
+        ResponseBuffers::Reservation reservation(buffers);
+        parser.eager(true);
+        while (!parser.is_done() && !error) {
+            co_await http::async_read_some(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
+            if (!error && !reservation.resize(parser.get().body().size()))
+                error = http::error::body_limit;
+        }
+    }
+
     // Skips interim (1xx) responses.
-    net::awaitable<std::optional<CompleteResponse>> readResponse(BackendConnection& connection, http::verb method, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readResponse(ResponseBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
     {
-        for (;;) {
+        for (int interim = 0; interim <= maxInterimResponses; ++interim) {
             ResponseParser parser;
             parser.header_limit(maxResponseHeaderBytes);
-            parser.body_limit(maxResponseBytes);
+            parser.body_limit(ResponseBuffers::maxBytes);
             parser.skip(method == http::verb::head);
-            co_await http::async_read(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
+            co_await readWithin(buffers, connection, parser, error);
             if (error)
                 co_return std::nullopt;
             const unsigned status = parser.get().result_int();
@@ -170,6 +181,8 @@
             complete.message = parser.release();
             co_return complete;
         }
+        error = http::error::unexpected_body;
+        co_return std::nullopt;
     }
 
     // On a reused connection a late response to an earlier request may arrive first.
@@ -182,7 +195,7 @@
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(const RequestServices& services, const RequestState& request, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
-            auto complete = co_await readResponse(connection, request.message.method(), error);
+            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
             if (error || !complete || !isForAnotherRequest(services.headerNames, request, complete->message))
                 co_return complete;
             log(Event("response-id-mismatch").with("request", request.id).with("received_id", complete->message[services.headerNames.requestId]));
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -55,8 +55,9 @@
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
     PlacementClient placement { directory, placementCoordinator, loop, clock };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
+    internal::ResponseBuffers responseBuffers;
     internal::CallerConnections connections;
-    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, metrics, random, connections.draining };
+    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, responseBuffers, metrics, random, connections.draining };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -2,6 +2,7 @@
 
 #include "Asio.h"
 #include "BackendTable.h"
+#include "ResponseBuffers.h"
 
 #include <lacewingsail/Gateway.h>
 #include <lacewingsail/Observe.h>
@@ -28,6 +29,7 @@
     AccountRateLimiter& tokens;
     PlacementClient& placement;
     BackendTable& backends;
+    ResponseBuffers& responseBuffers;
     Metrics& metrics;
     std::mt19937_64& random;
     /// True during a planned stop.
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -18,6 +18,19 @@
 
 HEARTBEAT_S = 0.5
 HANG_S = 30
+SIGNED_HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Signature: s1\r\n"
+# Responses without end: their start, the piece that is repeated, and the pause after each piece in seconds.
+ENDLESS = {
+    "endless-head": (SIGNED_HEAD, b"X-Filler: " + b"x" * 1000 + b"\r\n", 0),
+    "endless-head-line": ("HTTP/1.1 200 ", b"x" * 1000, 0),
+    "endless-interim": ("", b"HTTP/1.1 100 Continue\r\n\r\n", 0),
+    "endless-body": (SIGNED_HEAD + "\r\n", b"x" * 65536, 0),
+    "endless-chunks": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + b"x" * 65536 + b"\r\n", 0),
+    "endless-chunk-extension": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n1;", b"x" * 1000, 0),
+    "endless-trailer": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n", 0),
+    "endless-slow-head": (SIGNED_HEAD + "X-Filler: ", b"x", 0.02),
+    "endless-slow-body": (SIGNED_HEAD + "\r\n", b"x", 0.02),
+}
 LARGE_BYTES = 12 << 20
 
 
@@ -164,7 +177,8 @@
 
 class Backend:
     """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
-    unframed, unsigned or shed; `executions` lists (id, account, path, Authorization) of every request that it ran."""
+    unframed, unsigned, shed or one of ENDLESS; `executions` lists (id, account, path, Authorization) of every request that it
+    ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver ended."""
 
     def __init__(self, store, name, service, zone):
         self.store, self.name, self.service, self.zone = store, name, service, zone
@@ -172,6 +186,7 @@
         self.state = "ready"
         self.executions = []
         self.heartbeats = 0
+        self.endless = self.abandoned = 0
         self.alive = True
         self.address = address(free_ports(1)[0])
         self.server = Listener(("127.0.0.1", int(self.address.split(":")[1])), self._handler())
@@ -217,6 +232,18 @@
                 self.wfile.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body + extra)
                 self.wfile.flush()
 
+            def send_endlessly(self, start, piece, pause_s):
+                """Sends `start` and then `piece` again and again until the receiver closes the connection."""
+                backend.endless += 1
+                self.close_connection = True
+                try:
+                    self.wfile.write(start.replace("ID", self.headers["Attempt-Id"]).encode())
+                    while backend.alive:
+                        self.wfile.write(piece)
+                        time.sleep(pause_s)
+                except OSError:
+                    backend.abandoned += 1
+
             def serve(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 behaviour = backend.behaviour
@@ -248,6 +275,8 @@
                 if behaviour == "unframed":
                     self.close_connection = True
                     return self.raw(200, response_body)
+                if behaviour in ENDLESS:
+                    return self.send_endlessly(*ENDLESS[behaviour])
                 extra = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nlate" if behaviour == "extra" else b""
                 return self.raw(200, response_body, len(response_body), extra)
 
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -5,6 +5,7 @@
 times, except where a comment says why.
 """
 
+import contextlib
 import json
 import os
 import shutil
@@ -17,7 +18,7 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from fleet.platform_standins import LARGE_BYTES, Backend, Gateway, Store, configuration, host_and_port
+from fleet.platform_standins import ENDLESS, LARGE_BYTES, Backend, Gateway, Store, configuration, host_and_port
 from fleet.processes import ROOT, free_ports, wait_until
 
 ROUTES = [("/look/", "idempotent", "desk", 3, 3, False), ("/book/", "non_idempotent", "desk", 3, 3, False),
@@ -27,6 +28,11 @@
 ACCOUNTS = [{"name": "norrland", "apiKeys": ["key-n"], "priority": 1}, {"name": "skane", "apiKeys": ["key-s"], "ratePerS": 5, "burst": 10}]
 
 
+ENDLESS_CALLERS = 12
+# Of the smallest hosts of the users' deployments.
+HOST_MEMORY_MB = 160
+
+
 class Response:
     def __init__(self, status, headers, body):
         self.status, self.headers, self.body = status, headers, body
@@ -205,6 +211,36 @@
     fixture.set_behaviour("good")
 
 
+def peak_memory_mb(host):
+    with open(f"/proc/{host.process.child.pid}/status", encoding="utf-8") as file:
+        return next(int(line.split()[1]) for line in file if line.startswith("VmHWM:")) / 1024
+
+
+def endless_responses_fail_and_memory_stays_bounded(fixture):
+    host = fixture.hosts[0]
+    for behaviour in ENDLESS:
+        fixture.set_behaviour("good")
+        # The response without end comes on a connection that was used before.
+        check(send_request(host.callers, "GET", "/look/1").status == 200, f"{behaviour}: not served before")
+        fixture.set_behaviour(behaviour)
+        with contextlib.ExitStack() as stack:
+            callers = [stack.enter_context(Caller(host.callers)) for _ in range(ENDLESS_CALLERS)]
+            ids = [caller.send("POST", "/brief/1") for caller in callers]
+            responses = [caller.receive() for caller in callers]
+        check(all(response.status in (502, 503, 504) for response in responses), f"{behaviour}: {sorted(response.status for response in responses)}")
+        check([response.headers["Attempt-Id"] for response in responses] == ids, f"{behaviour}: responses to other requests")
+        check(all(len(fixture.executions(request_id)) <= 1 for request_id in ids), f"{behaviour}: a booking ran twice")
+        check(any(len(fixture.executions(request_id)) == 1 for request_id in ids), f"{behaviour}: no booking ran")
+        wait_until(lambda: all(backend.abandoned == backend.endless for backend in fixture.backends), f"{behaviour}: connections to be closed")
+        check(peak_memory_mb(host) <= HOST_MEMORY_MB, f"{behaviour}: {peak_memory_mb(host):.0f} MB")
+        wait_until(lambda: any("event=attempt-failed" in line and f"request={request_id} " in line for line in host.log_lines() for request_id in ids),
+                   f"{behaviour}: the log line of the failed attempt")
+        fixture.set_behaviour("good")
+        wait_until(lambda: send_request(host.callers, "GET", "/look/1").status == 200, f"{behaviour}: servers to be used again")
+    wait_until(lambda: any("event=gray-failure-suspected" in line for each in fixture.hosts for line in each.log_lines()),
+               "the failures to count against the servers")
+
+
 def booking_past_its_deadline_fails_and_is_not_repeated(fixture):
     fixture.set_behaviour("slow")
     response = send_request(fixture.hosts[0].callers, "POST", "/brief/1")
@@ -399,7 +435,7 @@
 CASES = [request_is_served_for_its_account, wrong_keys_and_paths_are_refused, pipelined_requests_are_answered_in_order,
          broken_responses_are_never_passed_on, repeatable_request_survives_a_failing_server,
          shed_booking_is_reported_as_not_run, surplus_responses_are_discarded, response_without_length_is_complete,
-         slow_reader_gets_complete_closing_response,
+         slow_reader_gets_complete_closing_response, endless_responses_fail_and_memory_stays_bounded,
          booking_past_its_deadline_fails_and_is_not_repeated, account_above_its_rate_is_refused_on_all_hosts_together,
          configuration_and_key_changes_reach_all_hosts, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
