Accounts stay within their rate while hosts do not reach each other

Cause: a limit of the fleet was applied by each host on its own. A host that reached no coordinator granted 0.4 s of the account's rate at once and 5% of it a second, whatever the number of hosts; a host that had just started and knew no other one granted as the coordinator; a failed call was enough to take over, while the coordinator still granted to others; and a new coordinator began with tokens of its own.

Now every host owns an equal part of each account. A coordinator grants the share of the fleet that it hears, takes over only once its predecessor counts it out, and grants only what accrues from then on. A host without a coordinator grants its equal part of half of the tolerated overshoot.

The calls between hosts get an interface, HostCalls, so that tests can take the place of gRPC.

--- a/packages/exchange/lacewingsail/Exchange.h
+++ b/packages/exchange/lacewingsail/Exchange.h
@@ -15,5 +15,6 @@
 #include "src/Exchange/AccountRateLimiter.h"
 #include "src/Exchange/FleetExchange.h"
 #include "src/Exchange/GatewayCalls.h"
+#include "src/Exchange/HostCalls.h"
 #include "src/Exchange/PlacementClient.h"
 #include "src/Exchange/PlacementCoordinator.h"
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -33,22 +33,42 @@
 
 } // namespace
 
-void encode(const LiveHost& host, std::chrono::milliseconds age, bool leaving, protocol::GatewayHost& message)
+void encode(const FleetDirectory::Entry& entry, MonotonicTime now, protocol::GatewayHost& message)
 {
-    message.set_id(host.id.value());
-    message.set_zone(host.zone.value());
-    message.set_peers(text(host.peerEndpoint));
-    message.set_age_ms(milliseconds(age));
-    message.set_leaving(leaving);
-    message.set_processor_percent(toHundredths(host.processorShare));
+    message.set_id(entry.host.id.value());
+    message.set_zone(entry.host.zone.value());
+    message.set_peers(text(entry.host.peerEndpoint));
+    message.set_age_ms(milliseconds(now - entry.lastAliveAt));
+    message.set_leaving(entry.leaving);
+    if (entry.startedAt != MonotonicTime {})
+        message.set_uptime_ms(milliseconds(entry.lastAliveAt - entry.startedAt));
+    message.set_processor_percent(toHundredths(entry.host.processorShare));
 }
 
-std::optional<LiveHost> decode(const protocol::GatewayHost& message)
+std::optional<FleetDirectory::Entry> decode(const protocol::GatewayHost& message, MonotonicTime now)
 {
-    LiveHost host { HostId(message.id()), ZoneId(message.zone()), {}, message.processor_percent() / hundredths };
-    if (host.id.empty() || !parseEndpoint(message.peers(), host.peerEndpoint))
+    FleetDirectory::Entry entry;
+    entry.host = { HostId(message.id()), ZoneId(message.zone()), {}, message.processor_percent() / hundredths };
+    if (entry.host.id.empty() || !parseEndpoint(message.peers(), entry.host.peerEndpoint))
         return std::nullopt;
-    return host;
+    entry.lastAliveAt = now - std::chrono::milliseconds(message.age_ms());
+    if (message.has_uptime_ms())
+        entry.startedAt = entry.lastAliveAt - std::chrono::milliseconds(message.uptime_ms());
+    entry.leaving = message.leaving();
+    return entry;
+}
+
+void encode(const FleetSize& size, MonotonicTime now, protocol::GatewayHost& message)
+{
+    message.set_fleet_size(static_cast<std::uint32_t>(size.hosts));
+    message.set_fleet_size_age_ms(milliseconds(now - size.asOf));
+}
+
+std::optional<FleetSize> decodeFleetSize(const protocol::GatewayHost& message, MonotonicTime now)
+{
+    if (!message.has_fleet_size())
+        return std::nullopt;
+    return FleetSize { message.fleet_size(), now - std::chrono::milliseconds(message.fleet_size_age_ms()) };
 }
 
 void encode(const ServerStatsMap& servers, google::protobuf::RepeatedPtrField<protocol::UseOfServer>& messages)
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
@@ -11,8 +11,11 @@
 
 /// \brief Conversions between the messages of exchange.proto and the structs that they carry. Functions that return an
 /// optional return nothing for a malformed message.
-void encode(const LiveHost&, std::chrono::milliseconds age, bool leaving, protocol::GatewayHost&);
-std::optional<LiveHost> decode(const protocol::GatewayHost&);
+void encode(const FleetDirectory::Entry&, MonotonicTime now, protocol::GatewayHost&);
+std::optional<FleetDirectory::Entry> decode(const protocol::GatewayHost&, MonotonicTime now);
+
+void encode(const FleetSize&, MonotonicTime now, protocol::GatewayHost&);
+std::optional<FleetSize> decodeFleetSize(const protocol::GatewayHost&, MonotonicTime now);
 
 void encode(const ServerStatsMap&, google::protobuf::RepeatedPtrField<protocol::UseOfServer>&);
 ServerStatsMap decode(const google::protobuf::RepeatedPtrField<protocol::UseOfServer>&);
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -135,22 +135,26 @@
 {
     const MonotonicTime now = m_parts.clock.now();
     const FleetDirectory& directory = m_parts.directory;
-    internal::encode(directory.self(), {}, directory.isLeaving(), *message.mutable_sender());
+    internal::encode({ directory.self(), now, directory.startedAt(), {}, {}, directory.isLeaving() }, now, *message.mutable_sender());
+    if (directory.knowsFleetSize())
+        internal::encode(directory.recordedFleetSize(), now, *message.mutable_sender());
     for (const auto& [id, entry] : directory.entries())
-        internal::encode(entry.host, internal::since(now, entry.lastAliveAt), entry.leaving, *message.add_hosts());
+        internal::encode(entry, now, *message.add_hosts());
 }
 
 template <typename Message>
 void FleetExchange::applyHosts(const Message& message)
 {
     const MonotonicTime now = m_parts.clock.now();
-    if (const auto sender = internal::decode(message.sender())) {
-        m_parts.directory.recordAlive(*sender, now, message.sender().leaving());
-        m_parts.directory.recordCallSuccess(sender->id);
+    if (const auto sender = internal::decode(message.sender(), now)) {
+        m_parts.directory.recordAlive(sender->host, now, sender->startedAt, sender->leaving);
+        m_parts.directory.recordCallSuccess(sender->host.id);
     }
-    for (const protocol::GatewayHost& entry : message.hosts()) {
-        if (const auto host = internal::decode(entry))
-            m_parts.directory.recordAlive(*host, now - std::chrono::milliseconds(entry.age_ms()), entry.leaving());
+    if (const auto size = internal::decodeFleetSize(message.sender(), now))
+        m_parts.directory.recordFleetSize(*size);
+    for (const protocol::GatewayHost& listed : message.hosts()) {
+        if (const auto entry = internal::decode(listed, now))
+            m_parts.directory.recordAlive(entry->host, entry->lastAliveAt, entry->startedAt, entry->leaving);
     }
 }
 
@@ -230,9 +234,9 @@
     const MonotonicTime now = m_parts.clock.now();
     applyHosts(request);
     applyUpdate(request.news(), request.sender().id());
-    const auto sender = internal::decode(request.sender());
-    if (sender && sender->zone == m_parts.directory.self().zone)
-        m_parts.stats.setHost(sender->id, internal::decode(request.use()), now);
+    const auto sender = internal::decode(request.sender(), now);
+    if (sender && sender->host.zone == m_parts.directory.self().zone)
+        m_parts.stats.setHost(sender->host.id, internal::decode(request.use()), now);
     for (const protocol::UseOfZone& zone : request.zones())
         m_parts.stats.setZoneTotals(internal::decode(zone, now), now);
     fillUpdate({ ConfigurationVersion { request.news().configuration_version() }, LogOffset { request.news().servers_end() } }, *reply.mutable_news());
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "FleetDirectory.h"
-#include "GatewayCalls.h"
+#include "HostCalls.h"
 #include "StatsAggregator.h"
 
 #include <lacewingsail/Discovery.h>
@@ -38,7 +38,7 @@
 public:
     explicit FleetExchange(FleetExchangeParts);
 
-    void connect(GatewayCalls& calls) { m_calls = &calls; }
+    void connect(HostCalls& calls) { m_calls = &calls; }
 
     /// \brief Calls the relays with this host's updates and applies theirs; to be called every \ref interval.
     void tick();
@@ -77,7 +77,7 @@
     bool isStale() const;
 
     FleetExchangeParts m_parts;
-    GatewayCalls* m_calls = nullptr;
+    HostCalls* m_calls = nullptr;
     MonotonicTime m_startedAt;
     std::size_t m_ticks = 0;
     std::map<HostId, MonotonicTime> m_probedAt;
--- a/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
@@ -6,6 +6,7 @@
 class FleetDirectory;
 class FleetExchange;
 class GatewayCalls;
+class HostCalls;
 class PlacementClient;
 class PlacementCoordinator;
 class StatsAggregator;
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -141,8 +141,8 @@
     stub.async()->TakeTokens(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
         m_implementation->loop.post([call, callback, ok = status.ok()] {
             if (!ok || call->reply.unknown())
-                return callback(std::nullopt);
-            callback(TokenGrant { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) });
+                return callback({ ok, std::nullopt });
+            callback({ ok, TokenGrant { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) } });
         });
     });
 }
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -66,7 +66,7 @@
         return respond(m_coordinator.place(cell, demand));
     if (!m_calls)
         return respond(std::nullopt);
-    m_calls->place(coordinator->peerEndpoint, cell, demand, takeUnsentOutcomes(coordinator->id), [this, coordinator = coordinator->id, respond](const GatewayCalls::PlaceCallResult& result) {
+    m_calls->place(coordinator->peerEndpoint, cell, demand, takeUnsentOutcomes(coordinator->id), [this, coordinator = coordinator->id, respond](const HostCalls::PlaceCallResult& result) {
         if (!result.answered) {
             m_avoidUntil[coordinator] = m_clock.now() + internal::coordinatorAvoidancePeriod;
             log(Event("placement-coordinator-timeout").with("host", coordinator));
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "FleetDirectory.h"
-#include "GatewayCalls.h"
+#include "HostCalls.h"
 #include "PlacementCoordinator.h"
 
 #include <functional>
@@ -43,7 +43,7 @@
     PlacementClient(FleetDirectory&, PlacementCoordinator&, EventLoop&, const Clock&);
 
     /// \brief Sets the calls to other hosts; without them only this host is asked.
-    void connect(GatewayCalls& calls) { m_calls = &calls; }
+    void connect(HostCalls& calls) { m_calls = &calls; }
 
     /// \brief Asks for a server of \p cell. The callback is called once, within the call or later.
     void place(const PlacementCell& cell, const PlacementDemand&, Callback);
@@ -65,7 +65,7 @@
     PlacementCoordinator& m_coordinator;
     EventLoop& m_loop;
     const Clock& m_clock;
-    GatewayCalls* m_calls = nullptr;
+    HostCalls* m_calls = nullptr;
     /// Coordinators that did not answer, and until when they are skipped.
     std::map<HostId, MonotonicTime> m_avoidUntil;
     std::map<HostId, UnsentOutcomes> m_unsent;
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -6,6 +6,7 @@
 
 #include <lacewingsail/Observe.h>
 
+#include <cmath>
 #include <csignal>
 #include <unistd.h>
 
@@ -25,6 +26,10 @@
     // By then two exchanges with the seeds have taken place, if any of them is alive.
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
     constexpr std::chrono::milliseconds discoveryInterval { 1000 };
+    // Time for the first exchange, whose reply tells the size of the fleet, and between two reads of it.
+    constexpr std::chrono::milliseconds fleetSizeInterval { 500 };
+    // Share by which the size of the fleet changes before its record in the store is renewed.
+    constexpr double fleetSizeTolerance = 0.25;
 
 } // namespace internal
 
@@ -49,9 +54,9 @@
     internal::AsioHttpCalls storeCalls { loop.context(), settings.store };
     std::unique_ptr<RecordStore> store = parts.makeStore(storeCalls);
     StoreFollower follower { *store, active, registry, parts.decodeServer, clock, [this] { stateChanged(); } };
-    FleetDirectory directory { LiveHost { settings.id, settings.zone, settings.peers, settings.processorShare } };
+    FleetDirectory directory { LiveHost { settings.id, settings.zone, settings.peers, settings.processorShare }, clock.now() };
     StatsAggregator stats { settings.id, settings.zone };
-    AccountRateLimiter tokens { directory, active, clock };
+    AccountRateLimiter tokens { directory, active, settings.bounds, clock, random };
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
     PlacementClient placement { directory, placementCoordinator, loop, clock };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
@@ -64,7 +69,8 @@
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> operatorServer;
     MonotonicTime drainStartedAt {};
-    bool registered = false;
+    /// Size of the fleet in this host's record in the store; zero if it has none.
+    std::size_t registeredFleetSize = 0;
 
     std::error_code listen();
     net::awaitable<void> accept();
@@ -73,8 +79,9 @@
     void runExchange();
     void runHousekeeping();
     void discoverHosts();
-    void registerHost();
-    void readHostRecords();
+    void learnFleetSize();
+    void registerHost(std::size_t fleetSize);
+    void readHostRecords(bool recordAlive);
     void awaitSignal();
     void reload();
     void drain();
@@ -176,35 +183,58 @@
 void GatewayHost::Implementation::discoverHosts()
 {
     const bool alone = directory.liveHosts(clock.now()).size() <= 1;
+    const bool relay = exchange.isRelay();
     if (alone)
-        readHostRecords();
-    if (!registered && (alone || exchange.isRelay()))
-        registerHost();
+        readHostRecords(alone);
+    const double size = static_cast<double>(directory.fleetSize(clock.now()));
+    const bool resized = std::abs(size - static_cast<double>(registeredFleetSize)) > static_cast<double>(registeredFleetSize) * internal::fleetSizeTolerance;
+    if ((registeredFleetSize == 0 && (alone || relay)) || (resized && exchange.isPrimaryRelay()))
+        registerHost(static_cast<std::size_t>(size));
     loop.after(internal::discoveryInterval, [this] { discoverHosts(); });
 }
 
-void GatewayHost::Implementation::registerHost()
+// A host that starts alone is told the size of the fleet by the others; after a start of the whole fleet all read it.
+void GatewayHost::Implementation::learnFleetSize()
 {
-    registered = true;
-    store->append(RecordStream::Hosts, settings.id.value(), parts.encodeHost(directory.self()), [this](ResultCode code) {
+    if (directory.knowsFleetSize())
+        return;
+    readHostRecords(false);
+    loop.after(internal::fleetSizeInterval, [this] { learnFleetSize(); });
+}
+
+void GatewayHost::Implementation::registerHost(std::size_t fleetSize)
+{
+    registeredFleetSize = fleetSize;
+    store->append(RecordStream::Hosts, settings.id.value(), parts.encodeHost({ directory.self(), fleetSize }), [this](ResultCode code) {
         if (code == ResultCode::Ok)
             return;
         log(Event("host-registration-failed").with("reason", code));
-        registered = false;
+        registeredFleetSize = 0;
     });
 }
 
-void GatewayHost::Implementation::readHostRecords()
+void GatewayHost::Implementation::readHostRecords(bool recordAlive)
 {
-    store->readLatest(RecordStream::Hosts, [this](const StoreReadResult& result) {
-        if (result.code != ResultCode::Ok)
+    store->readLatest(RecordStream::Hosts, [this, recordAlive](const StoreReadResult& result) {
+        if (result.code != ResultCode::Ok) {
             log(Event("host-records-unavailable").with("reason", result.code));
+            return;
+        }
+        FleetSize size { 0, clock.now() };
+        LogOffset newest {};
         for (const KeyedRecord& record : result.records) {
-            const auto host = record.value ? parts.decodeHost(HostId(record.key), *record.value) : std::nullopt;
-            // The first exchange with the host shows whether it is still alive.
-            if (host && !directory.entries().contains(host->id))
-                directory.recordAlive(*host, clock.now(), false);
+            const auto decoded = record.value ? parts.decodeHost(HostId(record.key), *record.value) : std::nullopt;
+            if (!decoded)
+                continue;
+            if (record.offset >= newest) {
+                newest = record.offset;
+                size.hosts = decoded->fleetSize;
+            }
+            // The first exchange with the host shows whether it is still alive, and since when.
+            if (recordAlive && !directory.entries().contains(decoded->host.id))
+                directory.recordAlive(decoded->host, clock.now(), clock.now(), false);
         }
+        directory.recordFleetSize(size);
     });
 }
 
@@ -278,6 +308,7 @@
     host.awaitSignal();
     net::co_spawn(host.loop.context(), host.accept(), net::detached);
     host.loop.after(internal::discoveryDelay, [&host] { host.discoverHosts(); });
+    host.loop.after(internal::fleetSizeInterval, [&host] { host.learnFleetSize(); });
     host.followStore();
     host.runExchange();
     host.runHousekeeping();
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
@@ -16,8 +16,8 @@
     HeaderNames headerNames;
     ConfigurationDecoder decodeConfiguration;
     ServerDecoder decodeServer;
-    std::function<std::string(const LiveHost&)> encodeHost;
-    std::function<std::optional<LiveHost>(const HostId&, const std::string&)> decodeHost;
+    std::function<std::string(const HostRecord&)> encodeHost;
+    std::function<std::optional<HostRecord>(const HostId&, const std::string&)> decodeHost;
     /// Creates a client of the platform's store that sends its HTTP requests through the argument.
     std::function<std::unique_ptr<RecordStore>(HttpCalls&)> makeStore;
     /// Reads the settings again. Returns nothing if they are not readable or not valid.
--- a/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
@@ -10,6 +10,7 @@
 
     constexpr double longestBoundSeconds = 86'400;
     constexpr double mostRetrySlack = 1e6;
+    constexpr double mostRateSlack = 1e6;
     constexpr double mostProcessorShare = 1024;
 
     Endpoint readAddress(JsonReader& reader, std::string_view name)
@@ -37,6 +38,9 @@
         bounds.retryRatio = reader.number("retry_ratio", 0, 1, bounds.retryRatio);
         bounds.retrySlack = reader.number("retry_slack", 0, mostRetrySlack, bounds.retrySlack);
         bounds.retryWindow = readSeconds(reader, "retry_window", bounds.retryWindow);
+        bounds.rateOvershoot = reader.number("rate_overshoot", 0, 1, bounds.rateOvershoot);
+        bounds.rateSlack = reader.number("rate_slack", 0, mostRateSlack, bounds.rateSlack);
+        bounds.rateWindow = readSeconds(reader, "rate_window", bounds.rateWindow);
         bounds.floorShare = reader.number("floor_share", 0, 1, bounds.floorShare);
         reader.finish();
         return bounds;
--- a/packages/world/lacewingsail/src/World/GatewaySettings.h
+++ b/packages/world/lacewingsail/src/World/GatewaySettings.h
@@ -21,6 +21,11 @@
     /// Further attempts beyond that share in each window, summed over all hosts.
     double retrySlack = 60;
     std::chrono::milliseconds retryWindow { 10'000 };
+    /// What an account may exceed its rate and burst by in each window, as a share of them and as requests beyond that share,
+    /// summed over all hosts.
+    double rateOvershoot = 0.1;
+    double rateSlack = 20;
+    std::chrono::milliseconds rateWindow { 5000 };
     /// Share of a service's sound backend servers that must stay in use.
     double floorShare = 0.7;
 
