A large configuration reaches all hosts within the bound

Cause: a relay sent the whole text, 355,057 bytes, to each of the 31 hosts of its zone within one exchange of 0.4 s over a link of 10 Mbit/s, and again with each of the next ones. All of them timed out together, and the requests for servers and tokens that share the link with them. A failed call made it worse: the caller forgot what the other host had and sent everything along.

Now the text travels compressed (Zstandard), at most what the relay's link carries in 0.3 s of an interval; a host that learns of a newer version without its text reads the store at once. Hosts of unknown state are sent nothing that they may have: their reply tells what they lack.

Ruled out: decoding takes 4 to 39 ms.

Evidence for the mend: tests/FleetExchangeTest.cpp. On the code before, a relay asked by 61 hosts for 2,900 routes sends 28 MB in an interval whose link carries 625 KB; a first call and the one after a failure carry the whole text.

--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
@@ -72,6 +72,13 @@
     advanceAsOf(m_servers, serversAsOf);
 }
 
+// The latest record is read, as the records since this host's last read may have expired.
+void StoreFollower::requireConfiguration()
+{
+    if (!m_configuration.readInFlight)
+        m_configuration.initialized = false;
+}
+
 void StoreFollower::advanceAsOf(FollowedStream& followed, MonotonicTime asOf)
 {
     if (&followed == &m_servers && asOf - followed.knownAsOf >= internal::outageThreshold)
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
@@ -35,6 +35,9 @@
     /// epoch stands for none.
     void recordFreshness(MonotonicTime configurationAsOf, MonotonicTime serversAsOf);
 
+    /// \brief Records that another host has a newer configuration that it did not send, so that the store is read for it at once.
+    void requireConfiguration();
+
     /// \returns the instant as of which this host knows the whole content of the store; the epoch if it never did.
     MonotonicTime configurationAsOf() const { return m_configuration.knownAsOf; }
     MonotonicTime serversAsOf() const { return m_servers.knownAsOf; }
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -3,6 +3,7 @@
 #include "ExchangeCodec.h"
 
 #include <lacewingsail/Observe.h>
+#include <lacewingsail/Wire.h>
 
 #include <algorithm>
 
@@ -16,6 +17,12 @@
     constexpr std::chrono::milliseconds staleAfter { 1200 };
     // Exchanges from one host list to the next. A host that does not answer is noticed sooner by the hosts that call it.
     constexpr std::size_t hostListInterval = 4;
+    // Time on this host's link that the configurations sent in one interval may take. More at once would delay all of them beyond
+    // the deadline of the calls that carry them.
+    constexpr std::chrono::duration<double> configurationLinkTime { 0.3 };
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    // Several times the longest record of the store.
+    constexpr std::size_t maxConfigurationTextBytes = 4 * 1024 * 1024;
 
     std::chrono::milliseconds since(MonotonicTime now, MonotonicTime then)
     {
@@ -105,6 +112,7 @@
 {
     if (!m_calls)
         return;
+    m_configurationBytesLeft = static_cast<std::size_t>(m_parts.linkMegabitsPerSecond * internal::bytesPerMegabit * internal::configurationLinkTime.count());
     m_parts.stats.setLocal(m_parts.localStats(), m_parts.clock.now());
     m_parts.directory.evictSilentHosts(m_parts.clock.now());
     const bool includeHosts = m_ticks++ % internal::hostListInterval == 0 || m_parts.clock.now() - m_startedAt < internal::seedPeriod;
@@ -112,12 +120,24 @@
         call(target, includeHosts);
 }
 
-void FleetExchange::fillUpdate(const PeerState& peer, protocol::FleetNews& update) const
+void FleetExchange::fillConfiguration(protocol::FleetNews& update)
+{
+    if (m_compressedVersion != m_parts.active.version()) {
+        m_compressedVersion = m_parts.active.version();
+        m_compressedConfiguration = compress(m_parts.active.text());
+    }
+    if (m_compressedConfiguration.size() > m_configurationBytesLeft)
+        return;
+    m_configurationBytesLeft -= m_compressedConfiguration.size();
+    update.set_compressed_configuration(m_compressedConfiguration);
+}
+
+void FleetExchange::fillUpdate(const PeerState& peer, protocol::FleetNews& update)
 {
     const MonotonicTime now = m_parts.clock.now();
     update.set_configuration_version(number(m_parts.active.version()));
     if (peer.configuration < m_parts.active.version())
-        update.set_configuration(m_parts.active.text());
+        fillConfiguration(update);
     if (const auto age = internal::ageMilliseconds(now, m_parts.follower.configurationAsOf()))
         update.set_configuration_age_ms(*age);
     if (const auto age = internal::ageMilliseconds(now, m_parts.follower.serversAsOf()))
@@ -158,10 +178,23 @@
     }
 }
 
+bool FleetExchange::applyConfiguration(const protocol::FleetNews& update, const std::string& sender)
+{
+    const std::string& frame = update.compressed_configuration();
+    if (frame.empty() || update.configuration_version() <= number(m_parts.active.version()))
+        return false;
+    const auto text = decompress(frame, internal::maxConfigurationTextBytes);
+    if (!text) {
+        log(Event("configuration-malformed").with("source", sender).with("bytes", static_cast<long long>(frame.size())));
+        return false;
+    }
+    return m_parts.active.applyIfNewer(*text, sender);
+}
+
 void FleetExchange::applyUpdate(const protocol::FleetNews& update, const std::string& sender)
 {
     const MonotonicTime now = m_parts.clock.now();
-    bool changed = !update.configuration().empty() && m_parts.active.applyIfNewer(update.configuration(), sender);
+    bool changed = applyConfiguration(update, sender);
     std::vector<ServerChange> changes;
     for (const protocol::ServerNews& message : update.servers()) {
         auto change = internal::decode(message);
@@ -197,7 +230,9 @@
 {
     auto request = std::make_unique<protocol::ExchangeRequest>();
     const MonotonicTime now = m_parts.clock.now();
-    fillUpdate(m_peerStates[target], *request->mutable_news());
+    // A host of unknown state is sent nothing that it may have; its reply tells what it lacks.
+    const auto known = m_peerStates.find(target);
+    fillUpdate(known == m_peerStates.end() ? PeerState { m_parts.active.version(), m_parts.registry.endOffset() } : known->second, *request->mutable_news());
     fillHosts(*request);
     if (!isRelay() || !includeHosts)
         request->clear_hosts();
@@ -210,25 +245,35 @@
         }
     }
     const std::size_t requestBytes = request->ByteSizeLong();
-    const std::size_t configurationBytes = request->news().configuration().size();
-    m_calls->exchange(target, std::move(request), [this, target, now, requestBytes, configurationBytes](const protocol::ExchangeReply* reply) {
-        if (!reply) {
-            log(Event("exchange-failed").with("host", text(target)).with("request_bytes", static_cast<long long>(requestBytes)).with("configuration_bytes", static_cast<long long>(configurationBytes)).with("took_ms", internal::since(m_parts.clock.now(), now).count()));
-            for (const auto& [id, entry] : m_parts.directory.entries()) {
-                if (entry.host.peerEndpoint == target)
-                    m_parts.directory.recordCallFailure(id, m_parts.clock.now());
-            }
-            m_peerStates.erase(target);
-            return;
-        }
-        m_peerStates[target] = { ConfigurationVersion { reply->news().configuration_version() }, LogOffset { reply->news().servers_end() } };
-        applyHosts(*reply);
-        applyUpdate(reply->news(), reply->sender().id());
-        for (const protocol::UseOfZone& zone : reply->zones())
-            m_parts.stats.setZoneTotals(internal::decode(zone, m_parts.clock.now()), m_parts.clock.now());
+    m_calls->exchange(target, std::move(request), [this, target, now, requestBytes](const protocol::ExchangeReply* reply) {
+        if (reply)
+            return handleReply(target, *reply);
+        log(Event("exchange-failed").with("host", text(target)).with("request_bytes", static_cast<long long>(requestBytes)).with("took_ms", internal::since(m_parts.clock.now(), now).count()));
+        recordFailure(target);
     });
 }
 
+void FleetExchange::recordFailure(const Endpoint& target)
+{
+    for (const auto& [id, entry] : m_parts.directory.entries()) {
+        if (entry.host.peerEndpoint == target)
+            m_parts.directory.recordCallFailure(id, m_parts.clock.now());
+    }
+    m_peerStates.erase(target);
+}
+
+void FleetExchange::handleReply(const Endpoint& target, const protocol::ExchangeReply& reply)
+{
+    const ConfigurationVersion peerVersion { reply.news().configuration_version() };
+    m_peerStates[target] = { peerVersion, LogOffset { reply.news().servers_end() } };
+    applyHosts(reply);
+    applyUpdate(reply.news(), reply.sender().id());
+    if (peerVersion > m_parts.active.version())
+        m_parts.follower.requireConfiguration();
+    for (const protocol::UseOfZone& zone : reply.zones())
+        m_parts.stats.setZoneTotals(internal::decode(zone, m_parts.clock.now()), m_parts.clock.now());
+}
+
 void FleetExchange::handleRequest(const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply)
 {
     const MonotonicTime now = m_parts.clock.now();
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -20,6 +20,8 @@
     ServerRegistry& registry;
     StoreFollower& follower;
     StatsAggregator& stats;
+    /// Bandwidth of this host's link.
+    double linkMegabitsPerSecond = 10;
     /// Hosts to call while no other host is known, and for a while after the start.
     std::vector<Endpoint> seeds;
     /// \returns this host's current statistics of the backend servers.
@@ -68,7 +70,11 @@
 
     std::vector<Endpoint> callTargets() const;
     void call(const Endpoint&, bool includeHosts);
-    void fillUpdate(const PeerState&, protocol::FleetNews&) const;
+    void handleReply(const Endpoint&, const protocol::ExchangeReply&);
+    void recordFailure(const Endpoint&);
+    void fillUpdate(const PeerState&, protocol::FleetNews&);
+    void fillConfiguration(protocol::FleetNews&);
+    bool applyConfiguration(const protocol::FleetNews&, const std::string& sender);
     void applyUpdate(const protocol::FleetNews&, const std::string& sender);
     template <typename Message>
     void applyHosts(const Message&);
@@ -81,7 +87,12 @@
     MonotonicTime m_startedAt;
     std::size_t m_ticks = 0;
     std::map<HostId, MonotonicTime> m_probedAt;
+    /// Unknown for hosts that have not answered, or not since a call to them failed.
     std::map<Endpoint, PeerState> m_peerStates;
+    ConfigurationVersion m_compressedVersion = ConfigurationVersion::None;
+    std::string m_compressedConfiguration;
+    /// Bytes of configurations that may still be sent in this interval.
+    std::size_t m_configurationBytesLeft = 0;
 };
 
 } // namespace lacewingsail
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -59,7 +59,7 @@
     AccountRateLimiter tokens { directory, active, settings.bounds, clock, random };
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
     PlacementClient placement { directory, placementCoordinator, loop, clock };
-    FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
+    FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
     internal::ResponseBuffers responseBuffers;
     internal::CallerConnections connections;
     internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, responseBuffers, metrics, random, connections.draining };
--- a/packages/policy/lacewingsail/src/Policy/Relays.h
+++ b/packages/policy/lacewingsail/src/Policy/Relays.h
@@ -15,7 +15,7 @@
     ZoneId zone;
     /// For calls from other hosts.
     Endpoint peerEndpoint;
-    /// Processor cores available to it; zero if unknown. Not used by any decision yet.
+    /// Processor cores available to it; zero if unknown.
     double processorShare = 0;
 
     auto operator<=>(const LiveHost&) const = default;
@@ -30,7 +30,8 @@
 /// \returns the first \p maxCount hosts, or all if there are fewer.
 std::vector<const LiveHost*> rankHosts(std::span<const LiveHost> hosts, std::string_view key, std::size_t maxCount);
 
-/// \returns the relays of \p zone, in order of preference. Allocates.
+/// \returns the relays of \p zone, in order of preference: hosts with more of a processor first, as a relay serves all hosts of
+/// its zone. Allocates.
 std::vector<const LiveHost*> relaysInZone(std::span<const LiveHost> hosts, const ZoneId& zone);
 
 } // namespace lacewingsail
--- a/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
@@ -12,6 +12,8 @@
     constexpr double mostRetrySlack = 1e6;
     constexpr double mostRateSlack = 1e6;
     constexpr double mostProcessorShare = 1024;
+    constexpr double minLinkMegabits = 0.1;
+    constexpr double maxLinkMegabits = 1e6;
 
     Endpoint readAddress(JsonReader& reader, std::string_view name)
     {
@@ -80,6 +82,7 @@
     for (Endpoint& seed : settings.seeds)
         seed.port = settings.peers.port;
     settings.processorShare = reader.number("processor_share", 0, internal::mostProcessorShare, settings.processorShare);
+    settings.linkMegabitsPerSecond = reader.number("link_mbps", internal::minLinkMegabits, internal::maxLinkMegabits, settings.linkMegabitsPerSecond);
     settings.serverHeartbeat = internal::readSeconds(reader, "server_heartbeat", settings.serverHeartbeat);
     if (const auto* bounds = reader.field("bounds", false))
         settings.bounds = internal::readBounds(*bounds, problems);
--- a/packages/world/lacewingsail/src/World/GatewaySettings.h
+++ b/packages/world/lacewingsail/src/World/GatewaySettings.h
@@ -45,8 +45,10 @@
     /// Hosts to ask while the store is away.
     std::vector<Endpoint> seeds;
     GatewayBounds bounds;
-    /// What the host has of a processor core, 0 to any number: hosts with more take more of the fleet's duties.
+    /// What the host has of a processor core, 0 to any number: hosts with more are preferred as relays.
     double processorShare = 1;
+    /// Bandwidth of the host's network link.
+    double linkMegabitsPerSecond = 10;
     /// Interval at which backend servers renew their registration.
     std::chrono::milliseconds serverHeartbeat { 1500 };
 
--- /dev/null
+++ b/tests/FleetExchangeTest.cpp
@@ -0,0 +1,206 @@
+#include "ScriptedStore.h"
+
+#include <lacewingsail/exchange.grpc.pb.h>
+#include <lacewingsail/Exchange.h>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+using namespace lacewingsail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \brief Calls whose replies the test gives.
+class ScriptedCalls final : public HostCalls {
+public:
+    struct Exchange {
+        Endpoint target;
+        std::unique_ptr<protocol::ExchangeRequest> request;
+        ExchangeCallback callback;
+    };
+
+    void exchange(const Endpoint& target, std::unique_ptr<protocol::ExchangeRequest> request, ExchangeCallback callback) override { exchanges.push_back({ target, std::move(request), std::move(callback) }); }
+    void requestTokens(const Endpoint&, const TokenDemand&, TokenCallback) override { }
+    void place(const Endpoint&, const PlacementCell&, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementCallback) override { }
+    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&) override { }
+
+    std::deque<Exchange> exchanges;
+};
+
+/// \brief One host. The version of a configuration is the number in front of its text.
+struct ExchangingHost {
+    explicit ExchangingHost(const Clock& clock, const std::string& id, std::vector<Endpoint> seeds = {})
+        : active([](const std::string& text) -> std::optional<PublishedConfiguration> {
+            PublishedConfiguration published;
+            published.version = ConfigurationVersion { std::stoull(text) };
+            return published;
+        },
+            clock)
+        , follower(
+              store, active, registry, [](const BackendServerId&, const std::string&) { return std::nullopt; }, clock, [] {})
+        , directory(LiveHost { HostId(id), ZoneId("a"), { "10.0.0.1", 1 }, 0.1 }, clock.now())
+        , stats(HostId(id), ZoneId("a"))
+        , exchange({ clock, directory, active, registry, follower, stats, 10, std::move(seeds), [] { return ServerStatsMap(); }, [] {} })
+    {
+        exchange.connect(calls);
+    }
+
+    void publish(const std::string& text) { active.applyIfNewer(text, ActiveConfiguration::storeSource); }
+
+    protocol::ExchangeRequest requestOfNextTick()
+    {
+        calls.exchanges.clear();
+        exchange.tick();
+        REQUIRE(calls.exchanges.size() == 1);
+        return *calls.exchanges.front().request;
+    }
+
+    void answer(const protocol::ExchangeReply* reply)
+    {
+        const auto callback = std::move(calls.exchanges.front().callback);
+        calls.exchanges.pop_front();
+        callback(reply);
+    }
+
+    ScriptedStore store;
+    ScriptedCalls calls;
+    ActiveConfiguration active;
+    ServerRegistry registry;
+    StoreFollower follower;
+    FleetDirectory directory;
+    StatsAggregator stats;
+    FleetExchange exchange;
+};
+
+struct FleetExchangeFixture {
+    ManualClock clock;
+
+    FleetExchangeFixture() { clock.advance(1h); }
+
+    static protocol::ExchangeReply replyWithVersion(std::uint64_t version)
+    {
+        protocol::ExchangeReply reply;
+        reply.mutable_sender()->set_id("other");
+        reply.mutable_sender()->set_peers("10.0.0.2:1");
+        reply.mutable_news()->set_configuration_version(version);
+        return reply;
+    }
+};
+
+std::string randomName(std::minstd_rand& random)
+{
+    std::string name;
+    for (int index = 0; index < 8; ++index)
+        name += "abcdefghijklmnopqrstuvwxyz0123456789"[random() % 36];
+    return name;
+}
+
+std::string largeConfiguration(int version, int routes)
+{
+    std::minstd_rand random(1);
+    std::string text = std::to_string(version) + " {\"routeRules\":[";
+    for (int index = 0; index < routes; ++index)
+        text += R"({"name":"r-)" + randomName(random) + R"(","kind":"idempotent","targetLatencyS":1.5,"priority":2,"match":{"pathPrefix":"/)" + randomName(random) + R"(/"},"action":{"service":"huvo11a","timeoutS":2.5}},)";
+    return text + "]}";
+}
+
+const std::vector<Endpoint> otherHost { { "10.0.0.2", 1 } };
+
+} // namespace
+
+// One text of 1,900 routes takes 0.2 s on the relay's link, and all hosts of its zone ask for it in the same interval. When
+// all are sent at once, none arrives within the deadline of its call.
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleRequest, zone of 61 hosts asks for 2,900 routes, sends no more than fits into the interval")
+{
+    constexpr double linkBytesPerSecond = 10e6 / 8;
+    const double intervalBytes = linkBytesPerSecond * std::chrono::duration<double>(FleetExchange::interval).count();
+    ExchangingHost relay(clock, "relay");
+    relay.publish(largeConfiguration(2, 2900));
+    std::size_t waiting = 61;
+    const GatewayBounds bounds;
+    for (Duration elapsed {}; waiting > 0 && elapsed < bounds.configuration; elapsed += FleetExchange::interval) {
+        relay.exchange.tick();
+        std::size_t sent = 0;
+        for (std::size_t asking = waiting; asking > 0; --asking) {
+            protocol::ExchangeRequest request;
+            request.mutable_news()->set_configuration_version(1);
+            protocol::ExchangeReply reply;
+            relay.exchange.handleRequest(request, reply);
+            sent += reply.ByteSizeLong();
+            CHECK(reply.news().configuration_version() == 2);
+            if (reply.news().ByteSizeLong() < 1000)
+                continue;
+            ExchangingHost host(clock, "host", otherHost);
+            host.requestOfNextTick();
+            host.answer(&reply);
+            waiting -= host.active.version() == ConfigurationVersion { 2 } ? 1 : 0;
+        }
+        CHECK(static_cast<double>(sent) <= intervalBytes);
+    }
+    // The others read the store.
+    CHECK(waiting < 61);
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "tick, other host of unknown state, is not sent the configuration")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    host.publish(largeConfiguration(2, 100));
+    CHECK(host.requestOfNextTick().ByteSizeLong() < 1000);
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "tick, other host answered with an older version, is sent the configuration until it has it")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    host.publish(largeConfiguration(2, 100));
+    host.requestOfNextTick();
+    auto reply = replyWithVersion(1);
+    host.answer(&reply);
+    ExchangingHost other(clock, "other");
+    const auto request = host.requestOfNextTick();
+    protocol::ExchangeReply otherReply;
+    other.exchange.handleRequest(request, otherReply);
+    CHECK(other.active.text() == host.active.text());
+    host.answer(&otherReply);
+    CHECK(host.requestOfNextTick().ByteSizeLong() < 1000);
+}
+
+// The configuration in a request is what makes calls to a slow host fail: it is not sent again with each attempt.
+TEST_CASE_FIXTURE(FleetExchangeFixture, "tick, call failed, does not send the configuration again before an answer")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    host.publish(largeConfiguration(2, 100));
+    host.requestOfNextTick();
+    host.answer(nullptr);
+    CHECK(host.requestOfNextTick().ByteSizeLong() < 1000);
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleReply, newer version without its text, reads the store at once")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    host.publish("1");
+    host.follower.tick(StoreReaderRole::Standby);
+    for (const auto& call : std::exchange(host.store.calls, {}))
+        call.callback({});
+    host.follower.tick(StoreReaderRole::Standby);
+    CHECK(host.store.calls.empty());
+    host.requestOfNextTick();
+    const auto reply = replyWithVersion(2);
+    host.answer(&reply);
+    host.follower.tick(StoreReaderRole::Standby);
+    CHECK(std::ranges::any_of(host.store.calls, [](const auto& call) { return call.stream == RecordStream::Configuration && call.readLatest; }));
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleRequest, configuration that is no valid frame, is ignored")
+{
+    ExchangingHost host(clock, "host");
+    host.publish("1");
+    protocol::ExchangeRequest request;
+    request.mutable_news()->set_configuration_version(2);
+    request.mutable_news()->set_compressed_configuration("2 but not compressed");
+    protocol::ExchangeReply reply;
+    host.exchange.handleRequest(request, reply);
+    CHECK(host.active.version() == ConfigurationVersion { 1 });
+}
--- a/tests/RelaysTest.cpp
+++ b/tests/RelaysTest.cpp
@@ -44,6 +44,12 @@
     CHECK(relaysInZone(hosts, ZoneId("b"))[0]->id == second);
 }
 
+TEST_CASE_FIXTURE(RelaysFixture, "relaysInZone, host with more of a processor, is the first relay")
+{
+    hosts[4].processorShare = 0.5;
+    CHECK(relaysInZone(hosts, ZoneId("b"))[0]->id == hosts[4].id);
+}
+
 TEST_CASE_FIXTURE(RelaysFixture, "rankHosts, fewer hosts than requested, returns all")
 {
     CHECK(rankHosts(hosts, "account", 50).size() == hosts.size());
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -1,32 +1,14 @@
-#include <lacewingsail/Discovery.h>
+#include "ScriptedStore.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <deque>
 
 using namespace lacewingsail;
 using namespace std::chrono_literals;
 
 namespace {
 
-/// \brief A store whose calls the test answers one by one.
-class ScriptedStore final : public RecordStore {
-public:
-    struct Call {
-        RecordStream stream;
-        bool readLatest = false;
-        LogOffset from {};
-        ReadCallback callback;
-    };
-
-    void read(RecordStream stream, LogOffset from, std::chrono::milliseconds, ReadCallback callback) override { calls.push_back({ stream, false, from, std::move(callback) }); }
-    void readLatest(RecordStream stream, ReadCallback callback) override { calls.push_back({ stream, true, {}, std::move(callback) }); }
-    void append(RecordStream, std::string, std::string, std::function<void(ResultCode)>) override { }
-
-    std::deque<Call> calls;
-};
-
 struct StoreFollowerFixture {
     ManualClock clock;
     ScriptedStore store;
