Accounts are granted half a second after a start of the whole fleet

Hosts waited for two exchanges before they coordinated. The first one is enough: a coordinator's share is the part of the fleet that it knows, so that hosts which disagree on the coordinator at a start grant little.

--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -13,9 +13,9 @@
     constexpr std::chrono::milliseconds gossipDelay { 5000 };
     // A silent coordinator may still hear the hosts that no longer hear it, and counts them among its own for silenceTimeout.
     constexpr std::chrono::milliseconds takeoverDelay = silenceTimeout + gossipDelay;
-    // Uptime from which a host coordinates accounts while most of the fleet is starting: two exchanges with the seeds, through
-    // which hosts that start together find each other.
-    constexpr std::chrono::milliseconds fleetStartDelay { 1000 };
+    // Uptime from which a host coordinates accounts while most of the fleet is starting: the first exchange with the seeds. Hosts
+    // that do not know all others yet may disagree on the coordinator, but their shares are as small as the part they know.
+    constexpr std::chrono::milliseconds fleetStartDelay { 500 };
     // Share of the live hosts that have been up for gossipDelay, from which they can coordinate all accounts by themselves.
     constexpr double establishedShare = 0.25;
     // Start times of one process, as computed from its age by several hosts, differ by the delays of their messages.
