Requests wait longer for a slow coordinator of their account

The second host, which was asked after the first, can grant nothing while the first one may still be the coordinator, so its 150 ms are better spent on the first: it has 400 ms now, and the second is asked only after a denial.

--- a/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/AccountRateLimiter.cpp
@@ -9,7 +9,7 @@
 
 namespace internal {
 
-    // Hosts that are asked for an account's tokens before this host grants its own share.
+    // Hosts that are asked for an account's tokens while they deny to be its coordinator.
     constexpr std::size_t maxCoordinatorsAsked = 2;
     // Time for which the tokens of one call last at the current demand; unused ones expire then. In it an account may exceed its
     // limit by what it earns meanwhile, which is half of the overshoot that the operators tolerate.
@@ -121,9 +121,12 @@
         if (result.grant)
             return finish(account, *result.grant, callback);
         log(Event("account-coordinator-unavailable").with("account", account).with("host", coordinator.id).with("rank", static_cast<long long>(rank)).with("reason", result.answered ? "not-coordinator" : "no-answer"));
-        if (!result.answered)
-            m_directory.recordCallFailure(coordinator.id, m_clock.now());
-        requestTokens(account, std::move(coordinators), rank + 1, wanted, std::move(callback));
+        if (result.answered)
+            return requestTokens(account, std::move(coordinators), rank + 1, wanted, std::move(callback));
+        // The next host grants nothing either while this one may still be the coordinator.
+        m_directory.recordCallFailure(coordinator.id, m_clock.now());
+        const std::size_t afterLast = coordinators.size();
+        requestTokens(account, std::move(coordinators), afterLast, wanted, std::move(callback));
     });
 }
 
@@ -137,8 +140,9 @@
     const MonotonicTime now = m_clock.now();
     const auto candidates = m_directory.coordinatorCandidates(now);
     for (const LiveHost* host : rankHosts(candidates, account.id.value(), internal::maxCoordinatorsAsked)) {
-        if (!m_directory.isAvoided(host->id, now))
-            coordinators.push_back(*host);
+        if (m_directory.isAvoided(host->id, now))
+            break;
+        coordinators.push_back(*host);
     }
     requestTokens(account.id, std::move(coordinators), 0, count, std::move(callback));
 }
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -12,8 +12,9 @@
 
     // Many times the round trip between zones (2 ms) and a few times what a host at a fifth of its speed needs to respond.
     constexpr std::chrono::milliseconds exchangeTimeout { 400 };
-    // A client request waits for the tokens, and the second-ranked host may have to be asked afterwards.
-    constexpr std::chrono::milliseconds tokenTimeout { 150 };
+    // A client request waits for the tokens. No other host can grant them, so that a slow coordinator is given about a quarter of
+    // the latency objectives.
+    constexpr std::chrono::milliseconds tokenTimeout { 400 };
 
     // Many times the latency to a host of any zone (3 ms) and several times what a host with a tenth of a core needs to
     // respond; a request that waits for it loses less than a tenth of its latency objective.
