Accounts keep their tokens over a start of the whole fleet

Cause: hosts granted nothing for half a second after their start, and the tokens of each account began to accrue only then. Where most of the fleet starts no earlier coordinator is left that could grant the same tokens, so they accrue from the start of the host; and a quarter of a second is enough, since a coordinator grants only the part of the fleet that it knows.

tests/AccountLimitFleetTest.cpp, with the kill of all hosts, passes as before.

--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -13,9 +13,9 @@
     constexpr std::chrono::milliseconds gossipDelay { 5000 };
     // A silent coordinator may still hear the hosts that no longer hear it, and counts them among its own for silenceTimeout.
     constexpr std::chrono::milliseconds takeoverDelay = silenceTimeout + gossipDelay;
-    // Uptime from which a host coordinates accounts while most of the fleet is starting: the first exchange with the seeds. Hosts
-    // that do not know all others yet may disagree on the coordinator, but their shares are as small as the part they know.
-    constexpr std::chrono::milliseconds fleetStartDelay { 500 };
+    // Uptime from which a host coordinates accounts while most of the fleet is starting. Hosts that do not know all others yet
+    // may disagree on the coordinator, but their shares are as small as the part they know.
+    constexpr std::chrono::milliseconds fleetStartDelay { 250 };
     // Share of the live hosts that have been up for gossipDelay, from which they can coordinate all accounts by themselves.
     constexpr double establishedShare = 0.25;
     // Start times of one process, as computed from its age by several hosts, differ by the delays of their messages.
@@ -109,9 +109,10 @@
 GrantAuthority FleetDirectory::coordinatorAuthority(const ClientAccountId& account, MonotonicTime now) const
 {
     const Duration delay = coordinationDelay(now);
-    MonotonicTime since = m_startedAt + delay;
-    if (m_leaving || !knowsFleetSize() || now < since)
+    if (m_leaving || !knowsFleetSize() || now - m_startedAt < delay)
         return {};
+    // After a start of the fleet there is no earlier coordinator whose tokens could be granted twice.
+    MonotonicTime since = delay == internal::fleetStartDelay ? m_startedAt : m_startedAt + delay;
     const std::uint64_t ownWeight = rendezvousWeight(account.value(), m_self.id.value());
     for (const auto& [id, entry] : m_entries) {
         if (rendezvousWeight(account.value(), id.value()) <= ownWeight)
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -27,7 +27,7 @@
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
     constexpr std::chrono::milliseconds discoveryInterval { 1000 };
     // Time for the first exchange, whose reply tells the size of the fleet, and between two reads of it.
-    constexpr std::chrono::milliseconds fleetSizeInterval { 500 };
+    constexpr std::chrono::milliseconds fleetSizeInterval { 250 };
     // Share by which the size of the fleet changes before its record in the store is renewed.
     constexpr double fleetSizeTolerance = 0.25;
 
