--- a/tests/AccountLimitFleetTest.cpp
+++ b/tests/AccountLimitFleetTest.cpp
@@ -240,7 +240,7 @@
     CHECK(fleet.peak() <= allowed());
 }
 
-// Each host that had just started and knew no other one granted as the coordinator.
+// Hosts that start together know only some of the others: their shares must not add up to more than the limit.
 TEST_CASE("acquire, all hosts killed at once under high demand, stay within the limit and recover the rate")
 {
     LimitedFleet fleet(4);
