--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -8,128 +8,22 @@
 import contextlib
 import json
 import os
-import shutil
-import socket
 import sys
-import tempfile
 import threading
 import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from fleet.platform_standins import ENDLESS, LARGE_BYTES, Backend, Gateway, Store, configuration, host_and_port
-from fleet.processes import ROOT, free_ports, wait_until
-
-ROUTES = [("/look/", "idempotent", "desk", 3, 3, False), ("/book/", "non_idempotent", "desk", 3, 3, False),
-          ("/open/", "idempotent", "desk", 3, 3, True), ("/brief/", "non_idempotent", "desk", 0.4, 2, False),
-          ("/quick/", "idempotent", "desk", 2, 2, False)]
-BUILD = os.environ.get("LACEWINGSAIL_BUILD", os.path.join(ROOT, "build"))
-ACCOUNTS = [{"name": "norrland", "apiKeys": ["key-n"], "priority": 1}, {"name": "skane", "apiKeys": ["key-s"], "ratePerS": 5, "burst": 10}]
-
+from fleet.gateway_fixture import ACCOUNTS, BUILD, ROUTES, Caller, check, run_cases, send_request
+from fleet.platform_standins import ENDLESS, LARGE_BYTES, Backend, Gateway, Store, configuration
+from fleet.processes import free_ports, wait_until
 
 ENDLESS_CALLERS = 12
 # Of the smallest hosts of the users' deployments.
 HOST_MEMORY_MB = 160
 
 
-class Response:
-    def __init__(self, status, headers, body):
-        self.status, self.headers, self.body = status, headers, body
-
-
-class Caller:
-    """One connection of a caller."""
-
-    count = 0
-    lock = threading.Lock()
-
-    def __init__(self, endpoint):
-        self.socket = socket.create_connection(host_and_port(endpoint), timeout=10)
-        self.file = self.socket.makefile("rb")
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, *_):
-        self.file.close()
-        self.socket.close()
-
-    def send(self, method, path, key="key-n", body=b"", headers=()):
-        with Caller.lock:
-            Caller.count += 1
-            request_id = f"attempt-{Caller.count}"
-        lines = [f"{method} {path} HTTP/1.1", "Host: clubs.example", f"Attempt-Id: {request_id}", "Deadline-Ms: 5000", *headers]
-        if key:
-            lines.append(f"Authorization: Token {key}")
-        if body:
-            lines.append(f"Content-Length: {len(body)}")
-        self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
-        return request_id
-
-    def receive(self):
-        status_line = self.file.readline()
-        if not status_line:
-            return None
-        headers = {}
-        while (line := self.file.readline()) not in (b"\r\n", b""):
-            name, value = line.decode().split(":", 1)
-            headers[name] = value.strip()
-        return Response(int(status_line.split()[1]), headers, self.file.read(int(headers.get("Content-Length", 0))))
-
-
-def send_request(endpoint, method, path, key="key-n", body=b"", headers=()):
-    with Caller(endpoint) as caller:
-        request_id = caller.send(method, path, key, body, headers)
-        response = caller.receive()
-        response.request_id = request_id
-        return response
-
-
-class Fixture:
-    """Two gateway hosts without seeds in one zone, three backend servers and the store."""
-
-    def __init__(self):
-        self.directory = tempfile.mkdtemp(prefix="lacewingsail-gateway-")
-        self.store = Store(free_ports(1)[0])
-        self.version = 1
-        self.publish(ROUTES, ACCOUNTS)
-        self.backends = [Backend(self.store, f"i-{index}", "desk", "a") for index in range(3)]
-        self.hosts = [Gateway(f"host-{index}", "a", self.store, self.directory, BUILD) for index in range(2)]
-        for host in self.hosts:
-            host.await_ready()
-
-    def publish(self, routes, accounts):
-        self.version += 3
-        self.store.put("keyed.op", "config", configuration(self.version, routes, accounts))
-
-    def set_behaviour(self, behaviour):
-        for backend in self.backends:
-            backend.behaviour = behaviour
-
-    def executions(self, request_id):
-        return [run for backend in self.backends for run in backend.executions if run[0] == request_id]
-
-    def close(self):
-        for host in self.hosts:
-            if host.process.alive():
-                host.process.kill()
-        shutil.rmtree(self.directory, ignore_errors=True)
-
-
-def check(condition, what):
-    if not condition:
-        raise AssertionError(what)
-
-
-def check_hosts_live(fixture):
-    ended = [host for host in fixture.hosts if not host.process.alive()]
-    for host in ended:
-        # The end of the log says why the process ended, for example a sanitizer's report.
-        print("\n".join(host.log_lines()[-60:]), flush=True)
-    check(not ended, f"hosts that ended: {[host.name for host in ended]}")
-
-
 def request_is_served_for_its_account(fixture):
     response = send_request(fixture.hosts[0].callers, "POST", "/book/7?x=1", body=b"clock", headers=["Tenant: forged"])
     check(response.status == 200 and response.body.endswith(b"/book/7?x=1 clock"), f"response {response.status} {response.body}")
@@ -442,26 +336,5 @@
          planned_stop_waits_for_slow_response]
 
 
-def main():
-    failed = 0
-    fixture = Fixture()
-    try:
-        for case in CASES:
-            if len(sys.argv) > 1 and case.__name__ not in sys.argv[1:]:
-                continue
-            try:
-                case(fixture)
-                check_hosts_live(fixture)
-                print(f"passed {case.__name__}", flush=True)
-            except Exception as error:  # pylint: disable=broad-except
-                failed += 1
-                print(f"FAILED {case.__name__}: {error!r}", flush=True)
-                fixture.set_behaviour("good")
-                fixture.store.mode = "up"
-    finally:
-        fixture.close()
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_cases(CASES))
