A host that stops logs the requests that it leaves unanswered

A connection that a planned stop cuts left no line behind: neither whether a response was ready and waited for its turn, nor whether a server was still at work, nor whether the response was being written. The line request-unanswered tells these apart: position in the connection, attempts, possible executions, response ready or being written. At most one line for each open request, at the stop only.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -300,6 +300,20 @@
     startTimer(lingerTime);
 }
 
+void CallerConnection::logUnanswered() const
+{
+    long long position = 0;
+    for (const PendingRequestPtr& pending : m_pending) {
+        const RequestState& request = *pending->request;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_services.clock.now() - request.arrivedAt);
+        Event event("request-unanswered");
+        event.with("request", request.id).with("position", position++).with("pending", static_cast<long long>(m_pending.size())).with("age_ms", age.count());
+        event.with("attempts", static_cast<long long>(request.attemptedServers.size())).with("possible_executions", request.possibleExecutions);
+        event.with("response_ready", pending->response ? "yes" : "no").with("response_being_written", m_writing && pending == m_pending.front() ? "yes" : "no");
+        log(event);
+    }
+}
+
 void CallerConnection::unregister()
 {
     m_timer.cancel();
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -30,6 +30,9 @@
     /// \brief Closes the connection if it is idle.
     void closeIfIdle();
 
+    /// \brief Logs each request whose response has not been sent completely.
+    void logUnanswered() const;
+
 private:
     /// \brief A received request, and its response once that is available.
     struct PendingRequest {
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -285,6 +285,8 @@
     }
     const bool empty = elapsed >= internal::balancerReactionTime && connections.open.empty();
     if (empty || elapsed >= settings.bounds.stopGrace - internal::processExitMargin) {
+        for (const auto& connection : connections.open)
+            connection->logUnanswered();
         log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
         return loop.context().stop();
     }
