Tests of planned stops with pipelined and outlasting requests, failing

What callers see: at the end of a planned stop a connection is closed without a response although the response of a later pipelined request has been ready for seconds, because responses are sent in order and an earlier one is unfinished; a request that is unfinished itself gets none either. A host that stops goes on taking pipelined requests, and takes requests until its exit that cannot end before it.

--- a/scripts/fleet/gateway_fixture.py
+++ b/scripts/fleet/gateway_fixture.py
@@ -40,11 +40,11 @@
         self.file.close()
         self.socket.close()
 
-    def send(self, method, path, key="key-n", body=b"", headers=()):
+    def send(self, method, path, key="key-n", body=b"", headers=(), deadline_ms=5000):
         with Caller.lock:
             Caller.count += 1
             request_id = f"attempt-{Caller.count}"
-        lines = [f"{method} {path} HTTP/1.1", "Host: clubs.example", f"Attempt-Id: {request_id}", "Deadline-Ms: 5000", *headers]
+        lines = [f"{method} {path} HTTP/1.1", "Host: clubs.example", f"Attempt-Id: {request_id}", f"Deadline-Ms: {deadline_ms}", *headers]
         if key:
             lines.append(f"Authorization: Token {key}")
         if body:
@@ -63,9 +63,9 @@
         return Response(int(status_line.split()[1]), headers, self.file.read(int(headers.get("Content-Length", 0))))
 
 
-def send_request(endpoint, method, path, key="key-n", body=b"", headers=()):
+def send_request(endpoint, method, path, key="key-n", body=b"", headers=(), deadline_ms=5000):
     with Caller(endpoint) as caller:
-        request_id = caller.send(method, path, key, body, headers)
+        request_id = caller.send(method, path, key, body, headers, deadline_ms)
         response = caller.receive()
         response.request_id = request_id
         return response
@@ -115,9 +115,21 @@
     check(not ended, f"hosts that ended: {[host.name for host in ended]}")
 
 
+def known_failures():
+    """Returns the names of the cases that KNOWN-RED.txt lists, one a line as `tests/FILE CASE: what was seen`."""
+    path = os.path.join(ROOT, "KNOWN-RED.txt")
+    if not os.path.exists(path):
+        return set()
+    prefix = f"tests/{os.path.basename(sys.argv[0])} "
+    with open(path, encoding="utf-8") as file:
+        return {line[len(prefix):].split(":")[0] for line in file if line.startswith(prefix)}
+
+
 def run_cases(cases):
-    """Runs the cases named on the command line, or all, on one fixture. Returns the exit code."""
+    """Runs the cases named on the command line, or all, on one fixture. Returns the exit code. A case that KNOWN-RED.txt
+    lists has to fail."""
     failed = 0
+    known = known_failures()
     fixture = Fixture()
     try:
         for case in cases:
@@ -126,10 +138,11 @@
             try:
                 case(fixture)
                 check_hosts_live(fixture)
-                print(f"passed {case.__name__}", flush=True)
+                failed += case.__name__ in known
+                print(f"{'PASSED, but is listed as failing' if case.__name__ in known else 'passed'} {case.__name__}", flush=True)
             except Exception as error:  # pylint: disable=broad-except
-                failed += 1
-                print(f"FAILED {case.__name__}: {error!r}", flush=True)
+                failed += case.__name__ not in known
+                print(f"{'known failure' if case.__name__ in known else 'FAILED'} {case.__name__}: {error!r}", flush=True)
                 fixture.set_behaviour("good")
                 fixture.store.mode = "up"
     finally:
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -177,13 +177,14 @@
 
 class Backend:
     """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
-    unframed, unsigned, shed or one of ENDLESS; `executions` lists (id, account, path, Authorization) of every request that it
-    ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver ended."""
+    unframed, unsigned, shed or one of ENDLESS; requests for `hanging_paths` get no response for a long time whatever it is.
+    `executions` lists (id, account, path, Authorization) of every request that it ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver ended."""
 
     def __init__(self, store, name, service, zone):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.behaviour = "good"
         self.state = "ready"
+        self.hanging_paths = set()
         self.executions = []
         self.heartbeats = 0
         self.endless = self.abandoned = 0
@@ -253,7 +254,7 @@
                     return self.raw(503, b"", 0, signed=False, executed=False)
                 backend.executions.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
                 response_body = f"{backend.name} {self.path} ".encode() + body
-                if behaviour == "hang":
+                if behaviour == "hang" or self.path in backend.hanging_paths:
                     time.sleep(HANG_S)
                 if behaviour == "slow":
                     time.sleep(0.6)
--- /dev/null
+++ b/tests/planned_stop_test.py
@@ -0,0 +1,112 @@
+#!/usr/bin/env python3
+"""Planned stops of gateway hosts while callers keep their connections and pipeline requests."""
+
+import os
+import sys
+import time
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from fleet.gateway_fixture import ACCOUNTS, BUILD, ROUTES, Caller, check, run_cases, send_request
+from fleet.platform_standins import Gateway
+from fleet.processes import wait_until
+
+# Its requests may outlast the grace period of a planned stop.
+LONG_ROUTES = [("/long/", "idempotent", "desk", 20, 1, False), ("/order/", "non_idempotent", "desk", 20, 1, False)]
+LONG_MS = 20000
+# Callers are sent to a stopping host until the balancer has removed it; the host still accepts connections after that.
+BALANCER_REACTION_S = 2.3
+
+
+class StoppingHost:
+    """A host of its own that a case stops, with routes whose requests may outlast the stop."""
+
+    def __init__(self, fixture):
+        self.fixture = fixture
+        fixture.publish(ROUTES + LONG_ROUTES, ACCOUNTS)
+        self.host = Gateway("stopping", "a", fixture.store, fixture.directory, BUILD)
+        self.host.await_ready()
+        for backend in fixture.backends:
+            backend.hanging_paths = {"/long/hang", "/order/hang"}
+
+    def __enter__(self):
+        return self.host
+
+    def __exit__(self, *_):
+        if self.host.process.alive():
+            self.host.process.kill()
+        for backend in self.fixture.backends:
+            backend.hanging_paths = set()
+
+
+def executed(fixture, request_id):
+    return bool(fixture.executions(request_id))
+
+
+def await_execution(fixture, request_id):
+    wait_until(lambda: executed(fixture, request_id), f"{request_id} to reach a server")
+
+
+def finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as caller:
+        first = caller.send("GET", "/long/hang", deadline_ms=LONG_MS)
+        await_execution(fixture, first)
+        second = caller.send("GET", "/long/1", deadline_ms=LONG_MS)
+        await_execution(fixture, second)
+        host.process.terminate()
+        responses = [caller.receive(), caller.receive()]
+        check(responses[0] and responses[0].status == 504, f"unfinished request: {responses[0] and responses[0].status}")
+        check(responses[1] and responses[1].status == 200 and responses[1].headers["Attempt-Id"] == second, f"finished request: {responses[1] and responses[1].status}")
+        check(responses[1].headers.get("Connection") == "close", "the last response does not close the connection")
+        check(host.process.wait() == 0, "exit code")
+
+
+def unfinished_booking_is_answered_before_the_stop_ends(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as caller:
+        request_id = caller.send("POST", "/order/hang", body=b"clock", deadline_ms=LONG_MS)
+        await_execution(fixture, request_id)
+        host.process.terminate()
+        response = caller.receive()
+        # The server may still run the booking, so that it must not be reported as not run.
+        check(response and response.status == 504, f"status {response and response.status}")
+        check(host.process.wait() == 0, "exit code")
+    check(len(fixture.executions(request_id)) == 1, "number of executions")
+
+
+def request_pipelined_after_the_start_of_a_stop_is_not_passed_on(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as caller:
+        fixture.set_behaviour("slower")
+        first = caller.send("GET", "/long/1", deadline_ms=LONG_MS)
+        await_execution(fixture, first)
+        host.process.terminate()
+        wait_until(lambda: any("event=host-draining" in line for line in host.log_lines()), "the stop to begin")
+        second = caller.send("GET", "/long/2", deadline_ms=LONG_MS)
+        response = caller.receive()
+        check(response and response.status == 200 and response.headers["Attempt-Id"] == first, f"first request: {response and response.status}")
+        check(response.headers.get("Connection") == "close", "the connection is not closed after the first request")
+        check(caller.receive() is None, "the second request got a response after the closing one")
+        check(host.process.wait() == 0, "exit code")
+        check(not executed(fixture, second), "the second request was passed on")
+    fixture.set_behaviour("good")
+
+
+def request_that_may_outlast_a_stop_is_refused_late_in_it(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as occupant:
+        # Keeps the host from ending early.
+        await_execution(fixture, occupant.send("GET", "/long/hang", deadline_ms=LONG_MS))
+        host.process.terminate()
+        time.sleep(BALANCER_REACTION_S + 0.2)
+        outlasting = send_request(host.callers, "POST", "/order/hang", body=b"clock", deadline_ms=LONG_MS)
+        check(outlasting.status == 503 and "Retry-After" in outlasting.headers, f"status {outlasting.status}")
+        check(not executed(fixture, outlasting.request_id), "a refused request ran")
+        in_time = send_request(host.callers, "POST", "/book/1", body=b"clock", deadline_ms=1500)
+        check(in_time.status == 200, f"status {in_time.status} for a request whose deadline lies within the stop")
+        check(host.process.wait() == 0, "exit code")
+
+
+CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
+         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
