Requests that outlast a planned stop get their final response before it ends

What callers saw: on a host that stops, a connection was closed without a response to a request whose server had sent its response three seconds before, and without one to the requests that were still unfinished.

Cause: responses of a connection are sent in the order of its requests. The response was ready and waited behind an earlier request that a server was still working on; at the end of the grace period the process exited with both in memory.

Shortly before its exit a host now ends what is unfinished: 504 if a server may have run the request, 503 with Retry-After if it was sent to none, which it is not afterwards either. The responses that waited behind are sent, and the connections closed. The times of a stop are one plain struct with free functions in policy (PlannedStop).

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -293,7 +293,7 @@
         AttemptReport report;
         report.status = AttemptStatus::Unknown;
         report.code = timedOut ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken;
-        if (!request.callerDisconnected) {
+        if (!request.cancelled) {
             const bool unreachable = error == boost::system::errc::timed_out;
             report.outcome = makeOutcome(unreachable ? PlacementStatus::Unreachable : PlacementStatus::Failed, services, startedAt);
             // Unacknowledged data (see tcpUserTimeoutMs) indicates a failure of the network path, not of the server.
@@ -318,14 +318,14 @@
         connection = co_await connect(services, *request, *server, deadline);
     if (!connection) {
         AttemptReport report;
-        if (!request->callerDisconnected) {
+        if (!request->cancelled) {
             recordConnectFailure(*server, services.clock.now());
             report.outcome.status = PlacementStatus::Unreachable;
         }
         co_return report;
     }
-    // While the connection was being opened, the server may have started to drain or the caller may have disconnected.
-    if (!server->acceptsRequests || request->callerDisconnected)
+    // While the connection was being opened, the server may have started to drain or the request may have been cancelled.
+    if (!server->acceptsRequests || request->cancelled)
         co_return AttemptReport { AttemptStatus::NotSent, ResultCode::NoBackendServer, {}, {} };
     request->cancelAttempt = [weak = std::weak_ptr(connection)] {
         if (const auto locked = weak.lock())
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.h
@@ -9,7 +9,7 @@
     /// The server sent a response, be it a success or an error.
     Answered,
     /// Nothing was sent: no connection could be opened, or meanwhile the server stopped accepting requests or the
-    /// caller disconnected.
+    /// request was cancelled.
     NotSent,
     /// The server stated that it did not run the request.
     NotRun,
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -197,6 +197,8 @@
         if (!failure)
             return;
         log(Event("request-handler-failed").with("request", pending->request->id));
+        if (pending->response)
+            return;
         pending->response = makeErrorResponse(self->m_services.headerNames, ResultCode::UpstreamBroken, pending->request->id);
         self->writeNextResponse(); });
 }
@@ -204,10 +206,26 @@
 net::awaitable<void> CallerConnection::handleRequest(PendingRequestPtr pending)
 {
     RequestResult result = co_await serveRequest(m_services, pending->request);
+    if (pending->response)
+        co_return;
+    finishRequest(*pending, std::move(result));
+    writeNextResponse();
+}
+
+void CallerConnection::finishRequest(PendingRequest& pending, RequestResult result)
+{
     m_services.metrics.counter("requests_total", "result", entryOf(result.code).name).fetch_add(1, std::memory_order_relaxed);
-    const std::string_view account = pending->request->account ? std::string_view(pending->request->account->id.value()) : "(none)";
-    m_services.metrics.latency("request_seconds", "account", account).fill(std::chrono::duration_cast<std::chrono::microseconds>(m_services.clock.now() - pending->request->arrivedAt));
-    pending->response = std::move(result.response);
+    const std::string_view account = pending.request->account ? std::string_view(pending.request->account->id.value()) : "(none)";
+    m_services.metrics.latency("request_seconds", "account", account).fill(std::chrono::duration_cast<std::chrono::microseconds>(m_services.clock.now() - pending.request->arrivedAt));
+    pending.response = std::move(result.response);
+}
+
+void CallerConnection::endRequests()
+{
+    for (const PendingRequestPtr& pending : m_pending) {
+        if (!pending->response)
+            finishRequest(*pending, endRequest(m_services, *pending->request));
+    }
     writeNextResponse();
 }
 
@@ -231,7 +249,7 @@
     // During a planned stop the connection is closed after its last response, unless a further request is being
     // received.
     const bool last = m_pending.size() == 1 && !m_receiving && m_buffer.size() == 0;
-    if (m_connections.draining && last)
+    if (m_connections.plannedStop && last)
         pending->closesConnection = true;
     auto response = std::make_shared<ResponseMessage>(std::move(*pending->response));
     eraseHopByHopFields(*response);
@@ -284,7 +302,7 @@
         // response.
         if (pending->response || !request.route || !request.route->repeatable)
             continue;
-        request.callerDisconnected = true;
+        request.cancelled = true;
         if (request.cancelAttempt)
             request.cancelAttempt();
     }
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -10,10 +10,10 @@
 
 class CallerConnection;
 
-/// \brief All open connections of callers, and whether a planned stop has begun.
+/// \brief All open connections of callers, and the planned stop if one has begun.
 struct CallerConnections {
     std::set<std::shared_ptr<CallerConnection>> open;
-    bool draining = false;
+    std::optional<PlannedStop> plannedStop;
 };
 
 /// \brief One connection of a caller. Pipelined requests are served concurrently; responses are sent in request order.
@@ -30,6 +30,9 @@
     /// \brief Closes the connection if it is idle.
     void closeIfIdle();
 
+    /// \brief Ends all requests that are unfinished, so that the responses behind them are sent too.
+    void endRequests();
+
     /// \brief Logs each request whose response has not been sent completely.
     void logUnanswered() const;
 
@@ -47,6 +50,7 @@
     net::awaitable<bool> waitForData();
     net::awaitable<void> handleRequest(PendingRequestPtr);
     void enqueueRequest(RequestMessage);
+    void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode);
     void writeNextResponse();
     void onResponseWritten(bool closesConnection, const boost::system::error_code&);
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -17,11 +17,6 @@
     constexpr std::size_t maxMetricSeries = 256;
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
-    // The load balancer polls readiness once a second and removes a host after two failed polls. Until then the host
-    // still accepts connections.
-    constexpr std::chrono::milliseconds balancerReactionTime { 2300 };
-    // Part of the grace period that is reserved for the exit of the process.
-    constexpr std::chrono::milliseconds processExitMargin { 350 };
     constexpr std::chrono::milliseconds drainCheckInterval { 100 };
     // By then two exchanges with the seeds have taken place, if any of them is alive.
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
@@ -62,13 +57,12 @@
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
     internal::ResponseBuffers responseBuffers;
     internal::CallerConnections connections;
-    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, responseBuffers, metrics, random, connections.draining };
+    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, responseBuffers, metrics, random, connections.plannedStop };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> operatorServer;
-    MonotonicTime drainStartedAt {};
     /// Size of the fleet in this host's record in the store; zero if it has none.
     std::size_t registeredFleetSize = 0;
 
@@ -153,7 +147,7 @@
     backends.update(registry);
     placementCoordinator.update();
     const bool serversKnown = follower.serversAsOf() != MonotonicTime {} || !registry.entries().empty();
-    ready = active.current() && serversKnown && !connections.draining;
+    ready = active.current() && serversKnown && !connections.plannedStop;
 }
 
 void GatewayHost::Implementation::followStore()
@@ -173,7 +167,7 @@
 {
     backends.closeExpiredConnections();
     lines.flush();
-    if (!ready && !connections.draining)
+    if (!ready && !connections.plannedStop)
         stateChanged();
     loop.after(internal::housekeepingInterval, [this] { runHousekeeping(); });
 }
@@ -245,7 +239,7 @@
             return;
         if (signal == SIGHUP)
             reload();
-        else if (!connections.draining)
+        else if (!connections.plannedStop)
             drain();
         awaitSignal();
     });
@@ -267,9 +261,8 @@
 void GatewayHost::Implementation::drain()
 {
     log(Event("host-draining").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
-    connections.draining = true;
+    connections.plannedStop = PlannedStop { clock.now(), settings.bounds.stopGrace };
     ready = false;
-    drainStartedAt = clock.now();
     directory.setLeaving();
     exchange.tick();
     checkDrained();
@@ -277,14 +270,17 @@
 
 void GatewayHost::Implementation::checkDrained()
 {
-    const Duration elapsed = clock.now() - drainStartedAt;
-    if (elapsed >= internal::balancerReactionTime) {
-        const auto open = connections.open;
-        for (const auto& connection : open)
+    const MonotonicTime now = clock.now();
+    const PlannedStop& stop = *connections.plannedStop;
+    const auto open = connections.open;
+    for (const auto& connection : open) {
+        if (now >= finalResponsesAt(stop))
+            connection->endRequests();
+        if (now >= balancerReactedAt(stop))
             connection->closeIfIdle();
     }
-    const bool empty = elapsed >= internal::balancerReactionTime && connections.open.empty();
-    if (empty || elapsed >= settings.bounds.stopGrace - internal::processExitMargin) {
+    const bool empty = now >= balancerReactedAt(stop) && connections.open.empty();
+    if (empty || now >= exitsAt(stop)) {
         for (const auto& connection : connections.open)
             connection->logUnanswered();
         log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -279,7 +279,7 @@
 
     bool mayRetry(const RequestServices& services, const RequestState& request)
     {
-        if (request.callerDisconnected || services.clock.now() >= request.deadline)
+        if (request.cancelled || services.clock.now() >= request.deadline)
             return false;
         return request.possibleExecutions < request.route->mostAttempts;
     }
@@ -310,7 +310,7 @@
         if (!request->route->repeatable || result.stallDeadline >= request->deadline)
             return result;
         result.onStall = [&services, request, replacement](std::function<bool()> abandon) {
-            if (services.draining || !mayRetry(services, *request))
+            if (services.plannedStop || !mayRetry(services, *request))
                 return;
             net::co_spawn(
                 services.context, [&services, request]() -> net::awaitable<ServerChoice> { co_return co_await chooseWithCoordinator(services, request); }, [&services, replacement, abandon = std::move(abandon)](const std::exception_ptr& failure, ServerChoice choice) {
@@ -356,7 +356,7 @@
             if (!choice.server)
                 choice = co_await chooseWithCoordinator(services, request);
             retryAfter = choice.retryAfter;
-            if (!choice.server && choice.shouldWait && !request->callerDisconnected) {
+            if (!choice.server && choice.shouldWait && !request->cancelled) {
                 --tries;
                 co_await sleepFor(services, choice.retryAfter);
                 continue;
@@ -402,6 +402,16 @@
     return response;
 }
 
+RequestResult endRequest(RequestServices& services, RequestState& request)
+{
+    request.cancelled = true;
+    if (request.cancelAttempt)
+        request.cancelAttempt();
+    if (request.possibleExecutions > 0)
+        return failRequest(services, request, ResultCode::UpstreamTimeout);
+    return failRequest(services, request, ResultCode::ShuttingDown, jitteredDelay(services, refusedRetryDelay));
+}
+
 net::awaitable<RequestResult> serveRequest(RequestServices& services, std::shared_ptr<RequestState> request)
 {
     request->configuration = services.active.current();
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -32,8 +33,7 @@
     ResponseBuffers& responseBuffers;
     Metrics& metrics;
     std::mt19937_64& random;
-    /// True during a planned stop.
-    const bool& draining;
+    const std::optional<PlannedStop>& plannedStop;
 };
 
 /// \brief A request from its arrival until its response.
@@ -54,7 +54,8 @@
     int possibleExecutions = 0;
     /// Backend servers that must not be tried again, including those that could not be reached.
     std::vector<BackendServerId> excludedServers;
-    bool callerDisconnected = false;
+    /// The caller has disconnected, or the response has been decided: the request is sent to no further server.
+    bool cancelled = false;
     /// Cancels the current attempt; empty if there is none.
     std::function<void()> cancelAttempt;
 };
@@ -68,6 +69,10 @@
 /// \brief Serves one request. Failures of callers, servers or the network do not throw.
 net::awaitable<RequestResult> serveRequest(RequestServices&, std::shared_ptr<RequestState>);
 
+/// \brief Ends a request whose result has not been determined and cancels its current attempt. \returns the response, which
+/// states whether the request may have been run.
+RequestResult endRequest(RequestServices&, RequestState&);
+
 /// \returns the host's own response for \p code, with Retry-After if \p retryAfter is not zero.
 ResponseMessage makeErrorResponse(const HeaderNames&, ResultCode code, const std::string& requestId, std::chrono::milliseconds retryAfter = {});
 
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -31,6 +31,7 @@
 #include "src/Policy/LogMaintenance.h"
 #include "src/Policy/OutlierDetection.h"
 #include "src/Policy/PlacementCell.h"
+#include "src/Policy/PlannedStop.h"
 #include "src/Policy/Recovery.h"
 #include "src/Policy/Relays.h"
 #include "src/Policy/RetryBudget.h"
--- a/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
+++ b/packages/policy/lacewingsail/src/Policy/ForwardDeclarations.h
@@ -39,6 +39,7 @@
 struct KeyTable;
 struct Link;
 struct PeerEvidence;
+struct PlannedStop;
 struct RecordedResponse;
 struct BlockDemand;
 struct LentSlice;
