A host that stops takes no requests that it may not finish

What callers saw: a request that a host took 1.7 s after SIGTERM, on a connection with an unfinished request, was given up at the end of the stop.

Cause: a connection with pipelined requests never came to a last response, so that the host went on taking requests from it until its exit; and requests on new connections, which the balancer still sends to a stopping host while few others are left in its zone, were taken up to the exit whatever time they needed.

Evidence: tests/planned_stop_test.py on the code before: the second request is passed on and the connection not closed after the first; a booking that is sent 2.5 s after the signal is passed on and cut at the exit.

From the start of a stop the response to the last accepted request closes its connection, and what was pipelined behind it counts as not received, which callers send again. Once the balancer has reacted, a request whose deadline lies beyond the final responses is refused with 503 and Retry-After, so that it runs on another host; one that is decided in time is still served.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -173,6 +173,8 @@
         onCallerDisconnected();
         co_return false;
     }
+    if (closesBeforeNextRequest())
+        co_return true;
     if (error) {
         rejectRequest(resultCodeFor(error));
         co_return false;
@@ -181,6 +183,20 @@
     co_return true;
 }
 
+// During a planned stop the response to the last accepted request closes the connection. What was sent behind it is dropped, as
+// if it had not been received: its response could only follow the others, which may outlast the stop.
+bool CallerConnection::closesBeforeNextRequest()
+{
+    if (m_closing)
+        return true;
+    const bool isBeingWritten = m_writing && m_pending.size() == 1;
+    if (!m_connections.plannedStop || m_pending.empty() || isBeingWritten)
+        return false;
+    m_pending.back()->closesConnection = true;
+    m_closing = true;
+    return true;
+}
+
 void CallerConnection::enqueueRequest(RequestMessage message)
 {
     auto pending = std::make_shared<PendingRequest>();
@@ -231,6 +247,8 @@
 
 void CallerConnection::rejectRequest(ResultCode code)
 {
+    if (closesBeforeNextRequest())
+        return;
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::make_shared<RequestState>();
     pending->response = makeErrorResponse(m_services.headerNames, code, {});
@@ -246,10 +264,7 @@
     if (m_writing || m_pending.empty() || !m_pending.front()->response)
         return;
     const PendingRequestPtr pending = m_pending.front();
-    // During a planned stop the connection is closed after its last response, unless a further request is being
-    // received.
-    const bool last = m_pending.size() == 1 && !m_receiving && m_buffer.size() == 0;
-    if (m_connections.plannedStop && last)
+    if (m_connections.plannedStop && m_pending.size() == 1)
         pending->closesConnection = true;
     auto response = std::make_shared<ResponseMessage>(std::move(*pending->response));
     eraseHopByHopFields(*response);
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -49,6 +49,7 @@
     net::awaitable<bool> readRequest();
     net::awaitable<bool> waitForData();
     net::awaitable<void> handleRequest(PendingRequestPtr);
+    bool closesBeforeNextRequest();
     void enqueueRequest(RequestMessage);
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode);
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -425,6 +425,8 @@
     if (const ResultCode code = findAccount(services, *request); code != ResultCode::Ok)
         co_return failNotFound(services, *request, code);
     setDeadline(services, *request);
+    if (services.plannedStop && !acceptsRequest(*services.plannedStop, services.clock.now(), request->deadline))
+        co_return failRequest(services, *request, ResultCode::ShuttingDown, jitteredDelay(services, refusedRetryDelay));
     request->service = chooseService(*request->route, services.random());
     if (services.backends.serversForService(request->service).empty())
         co_return failRequest(services, *request, ResultCode::NoBackendServer, jitteredDelay(services, minRetryDelay));
