A response counts only if it names its request

A caller could be told that its request did not run, or the request was sent to a second backend server, while the first one ran it: when a server wrote an earlier refusal once more on a kept connection and that refusal carried no id, or an empty one. So could a caller whose server refused without an id on a new connection.

Cause: the statement that a request did not run, and status 421, were believed before the id of the response was looked at, and only responses with another id were taken for late ones. Of two ids in one header the first was compared.

A response now names a request only if it repeats the id, once. On a connection that carried a request before, every other response is skipped as a late one; on a new connection it leaves the outcome open, and the report of load in it is not believed either.

tests/backend_responses_test.py compares what callers are told with what the servers ran. The stand-in's 421 now carries the statement, as the protocol of the servers says.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -185,18 +185,26 @@
         co_return std::nullopt;
     }
 
-    // On a reused connection a late response to an earlier request may arrive first.
-    bool isForAnotherRequest(const HeaderNames& names, const RequestState& request, const ResponseMessage& response)
+    // A response belongs to the request whose id it repeats. With several ids it belongs to none.
+    bool namesRequest(const HeaderNames& names, const RequestState& request, const ResponseMessage& response)
     {
+        return !request.id.empty() && response.count(names.requestId) == 1 && response[names.requestId] == request.id;
+    }
+
+    // On a reused connection a late response to an earlier request may arrive first, and it may lack an id.
+    bool isStale(const HeaderNames& names, const RequestState& request, const BackendConnection& connection, const ResponseMessage& response)
+    {
+        if (namesRequest(names, request, response))
+            return false;
         const auto id = response[names.requestId];
-        return !id.empty() && id != request.id;
+        return connection.reused || (!id.empty() && id != request.id);
     }
 
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(const RequestServices& services, const RequestState& request, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
-            if (error || !complete || !isForAnotherRequest(services.headerNames, request, complete->message))
+            if (error || !complete || !isStale(services.headerNames, request, connection, complete->message))
                 co_return complete;
             log(Event("response-id-mismatch").with("request", request.id).with("received_id", complete->message[services.headerNames.requestId]));
             if (!complete->keepsConnection)
@@ -208,12 +216,10 @@
 
     bool isSuccess(const ResponseMessage& response) { return response.result_int() >= 200 && response.result_int() < 300; }
 
-    // Every response must repeat the request id. A success must also have the server's signature and no content
-    // encoding: the body must consist of the bytes that the server sent.
+    // A success must have the server's signature and no content encoding: the body must consist of the bytes that the
+    // server sent.
     bool isInvalid(const HeaderNames& names, const ResponseMessage& response)
     {
-        if (response[names.requestId].empty())
-            return true;
         return isSuccess(response) && (response[names.signature].empty() || response.count(http::field::content_encoding) != 0);
     }
 
@@ -247,19 +253,30 @@
         return outcome;
     }
 
+    AttemptReport reportInvalid(RequestServices& services, BackendState& server, AttemptReport report, const ResponseMessage& response, MonotonicTime startedAt)
+    {
+        recordAttemptOutcome(services, server, AttemptStatus::Unknown, response.result_int(), startedAt);
+        report.status = AttemptStatus::Unknown;
+        report.code = ResultCode::UpstreamWrongAnswer;
+        return report;
+    }
+
     AttemptReport reportResponse(RequestServices& services, const RequestState& request, BackendState& server, ResponseMessage response, MonotonicTime startedAt)
     {
         const HeaderNames& names = services.headerNames;
         const MonotonicTime now = services.clock.now();
-        const auto load = reportedLoad(names, response);
-        // The reported load covers all hosts; this host knows its own part exactly.
-        if (load)
-            server.remoteStats.inFlight = std::max(0.0, *load - server.localStats.inFlight);
         recordConnectSuccess(server);
         AttemptReport report;
         report.outcome = makeOutcome(PlacementStatus::Failed, services, startedAt);
-        if (load)
+        // What the response says, also about whether the request ran, holds only if it belongs to the request.
+        if (!namesRequest(names, request, response))
+            return reportInvalid(services, server, std::move(report), response, startedAt);
+        const auto load = reportedLoad(names, response);
+        // The reported load covers all hosts; this host knows its own part exactly.
+        if (load) {
+            server.remoteStats.inFlight = std::max(0.0, *load - server.localStats.inFlight);
             report.outcome.reportedLoad = std::max(0.0, *load - 1);
+        }
         if (!response[names.notRun].empty() || response.result_int() == misdirectedStatus) {
             const bool misdirected = response.result_int() == misdirectedStatus;
             server.overloadedUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(overloadBackOff));
@@ -270,12 +287,8 @@
             report.code = ResultCode::Overloaded;
             return report;
         }
-        if (isInvalid(names, response)) {
-            recordAttemptOutcome(services, server, AttemptStatus::Unknown, response.result_int(), startedAt);
-            report.status = AttemptStatus::Unknown;
-            report.code = ResultCode::UpstreamWrongAnswer;
-            return report;
-        }
+        if (isInvalid(names, response))
+            return reportInvalid(services, server, std::move(report), response, startedAt);
         recordAttemptOutcome(services, server, AttemptStatus::Answered, response.result_int(), startedAt);
         if (response.result_int() >= 500)
             log(Event("server-error-response").with("request", request.id).with("server", server.registration.id).with("status", static_cast<long long>(response.result_int())));
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -163,6 +163,7 @@
         return;
     connection->idleSince = now;
     connection->openUntil = now + keepAlive - keepAliveMargin;
+    connection->reused = true;
     connection->stream.expires_never();
     state.idleConnections.push_back(std::move(connection));
 }
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -23,6 +23,8 @@
     MonotonicTime idleSince {};
     /// Until then the server is expected to keep it open while it is idle.
     MonotonicTime openUntil {};
+    /// Whether it carried an earlier request, to which a late response may arrive.
+    bool reused = false;
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -177,7 +177,8 @@
 
 class Backend:
     """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
-    unframed, unsigned, shed or one of ENDLESS; `executions` lists (id, account, path, Authorization) of every request that it
+    unframed, unsigned, shed, one of ENDLESS, or a function that responds by itself: it gets the handler of the connection and
+    the body of a complete response, and says by `handler.record_execution()` that it runs the request. `executions` lists (id, account, path, Authorization) of every request that it
     ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver ended."""
 
     def __init__(self, store, name, service, zone):
@@ -244,15 +245,20 @@
                 except OSError:
                     backend.abandoned += 1
 
+            def record_execution(self):
+                backend.executions.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
+
             def serve(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 behaviour = backend.behaviour
                 if self.headers.get("Target-Instance") != backend.name:
-                    return self.raw(421, b"", 0, signed=False)
+                    return self.raw(421, b"", 0, signed=False, executed=False)
                 if behaviour == "shed":
                     return self.raw(503, b"", 0, signed=False, executed=False)
-                backend.executions.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
                 response_body = f"{backend.name} {self.path} ".encode() + body
+                if callable(behaviour):
+                    return behaviour(self, response_body)
+                self.record_execution()
                 if behaviour == "hang":
                     time.sleep(HANG_S)
                 if behaviour == "slow":
@@ -280,7 +286,7 @@
                 extra = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nlate" if behaviour == "extra" else b""
                 return self.raw(200, response_body, len(response_body), extra)
 
-            do_GET = do_POST = serve
+            do_GET = do_POST = do_HEAD = serve
 
         return Handler
 
--- /dev/null
+++ b/tests/backend_responses_test.py
@@ -0,0 +1,207 @@
+#!/usr/bin/env python3
+"""Gateway hosts before backend servers whose responses follow responses to other requests on the same connection.
+
+A caller may be told that its request did not run only if no server ran it, and a success must be one server's complete response.
+"""
+
+import contextlib
+import http.client
+import itertools
+import os
+import sys
+import threading
+import time
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from fleet.gateway_fixture import check, run_cases
+from fleet.platform_standins import host_and_port
+
+# Statuses by which the platform's callers learn that a request did not run.
+NOT_RUN = (408, 421, 429, 503)
+REQUESTS = 24
+PAUSE_S = 0.003
+
+
+class Exchange:
+    """One request on a connection of its own, and what the caller received."""
+
+    count = itertools.count(1)
+
+    def __init__(self, endpoint, method, path, request_id=None):
+        self.method, self.path = method, path
+        self.request_id = request_id or f"request-{next(Exchange.count)}"
+        headers = {"Host": "clubs.example", "Deadline-Ms": "2500", "Authorization": "Token key-n", "Attempt-Id": self.request_id}
+        connection = http.client.HTTPConnection(*host_and_port(endpoint), timeout=10)
+        with contextlib.closing(connection):
+            connection.request(method, path, headers=headers)
+            response = connection.getresponse()
+            self.status, self.headers, self.body = response.status, response.headers, response.read()
+
+    def check(self, fixture, what, earlier=0):
+        """Checks what the caller was told against what the servers ran, after `earlier` executions under the same id. Returns
+        the number of executions."""
+        executions = len(fixture.executions(self.request_id)) - earlier
+        told = f"{what}: {self.method} {self.path}, status {self.status}, {executions} executions, body {self.body!r}"
+        check(executions == 0 or self.status not in NOT_RUN, told)
+        check(executions <= 1 or self.path.startswith("/look/"), told)
+        if 200 <= self.status < 300:
+            check(executions >= 1 and self.headers["Response-Signature"] == "s1", told)
+            check(self.headers["Attempt-Id"] == self.request_id, told)
+            check(self.method == "HEAD" or self.body.endswith(f"{self.path} ".encode()), told)
+        return executions
+
+
+def refusal(fields, status=503):
+    return f"HTTP/1.1 {status} X\r\n{fields}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode()
+
+
+def naming(request_id):
+    return f"Attempt-Id: {request_id}\r\n"
+
+
+def complete_response(handler, body):
+    head = f"HTTP/1.1 200 OK\r\n{naming(handler.headers['Attempt-Id'])}Response-Signature: s1\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode(), b"" if handler.command == "HEAD" else body
+
+
+def write_pieces(handler, pieces):
+    for piece in pieces:
+        handler.wfile.write(piece)
+        handler.wfile.flush()
+        time.sleep(PAUSE_S)
+
+
+class LateResponses:
+    """Behaviour of servers that write `make(previous id, id)` before the response to each further request of a connection.
+    `hits` counts them, `kept_after` the requests that followed one of them on the same connection."""
+
+    def __init__(self, make):
+        self.make, self.hits, self.kept_after = make, 0, 0
+
+    def __call__(self, handler, body):
+        request_id = handler.headers["Attempt-Id"]
+        previous = getattr(handler, "previous", None)
+        handler.previous = request_id
+        handler.record_execution()
+        head, content = complete_response(handler, body)
+        if previous is None:
+            return write_pieces(handler, [head + content])
+        self.kept_after += getattr(handler, "hit", False)
+        handler.hit = True
+        self.hits += 1
+        return write_pieces(handler, [piece for piece in self.make(previous, request_id, head + content) if piece])
+
+
+def send_bookings(fixture, behaviour, what, path="/book/1", method="POST"):
+    fixture.set_behaviour(behaviour)
+    exchanges = []
+    for _ in range(REQUESTS):
+        exchanges.append(Exchange(fixture.hosts[0].callers, method, path))
+        exchanges[-1].check(fixture, what)
+    fixture.set_behaviour("good")
+    check(behaviour.hits > 0, f"{what}: no late response was written")
+    return [exchange.status for exchange in exchanges]
+
+
+LATE_REFUSALS = {
+    "of the previous request": lambda previous, current: refusal(naming(previous)),
+    "without an id": lambda previous, current: refusal(""),
+    "with an empty id": lambda previous, current: refusal("Attempt-Id: \r\n"),
+    "with two ids": lambda previous, current: refusal(naming(current) + naming(previous)),
+    "with the id twice": lambda previous, current: refusal(naming(current) + naming(current)),
+    "with a list of ids": lambda previous, current: refusal(naming(f"{current}, {previous}")),
+    "without an id, status 400": lambda previous, current: refusal("", 400),
+    "without an id, status 421": lambda previous, current: refusal("", 421),
+    "without an id, status 429": lambda previous, current: refusal("", 429),
+    "two of them": lambda previous, current: refusal(naming(previous)) + refusal(""),
+    "interim, with the id": lambda previous, current: f"HTTP/1.1 103 X\r\n{naming(current)}Not-Executed: 1\r\n\r\n".encode(),
+}
+
+
+def late_refusals_are_not_taken_for_the_response(fixture):
+    for name, make in LATE_REFUSALS.items():
+        late = LateResponses(lambda previous, current, response, make=make: [make(previous, current) + response])
+        statuses = send_bookings(fixture, late, name)
+        check(statuses == [200] * REQUESTS, f"{name}: {statuses}")
+
+
+def late_refusals_in_pieces_are_not_taken_for_the_response(fixture):
+    for split in (1, 9, 14, 30, -2, -1):
+        late = LateResponses(lambda previous, current, response, split=split: [refusal("")[:split], refusal("")[split:] + response[:40], response[40:]])
+        statuses = send_bookings(fixture, late, f"split at {split}")
+        check(statuses == [200] * REQUESTS, f"split at {split}: {statuses}")
+
+
+def late_refusals_without_a_response_leave_the_outcome_open(fixture):
+    closing = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    for name, pieces in {"closing": [closing], "too many": [refusal("") * 8]}.items():
+        late = LateResponses(lambda previous, current, response, pieces=pieces: pieces)
+        statuses = send_bookings(fixture, late, name)
+        check(set(statuses) <= {200, 502} and 502 in statuses, f"{name}: {statuses}")
+
+
+def refusal_on_a_new_connection_without_an_id_leaves_the_outcome_open(fixture):
+    def refuse(handler, _):
+        handler.record_execution()
+        handler.close_connection = True
+        handler.wfile.write(refusal(""))
+
+    fixture.set_behaviour(refuse)
+    for _ in range(4):
+        exchange = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+        check(exchange.check(fixture, "new connection") == 1 and exchange.status == 502, f"status {exchange.status}")
+    fixture.set_behaviour("good")
+
+
+def late_refusals_at_any_moment_are_not_taken_for_the_response(fixture):
+    hits = itertools.count()
+
+    def respond(handler, body):
+        """Writes a late refusal from another thread, so that it comes before the next request, with it or in its response."""
+        handler.record_execution()
+        head, content = complete_response(handler, body)
+        handler.wfile.write(head + content)
+        delay_s = next(hits) % 40 * 0.0001
+
+        def write_late():
+            time.sleep(delay_s)
+            with contextlib.suppress(OSError, ValueError):
+                handler.connection.sendall(refusal(""))
+
+        threading.Thread(target=write_late, daemon=True).start()
+
+    fixture.set_behaviour(respond)
+    statuses = []
+    for _ in range(400):
+        exchange = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+        exchange.check(fixture, "any moment")
+        statuses.append(exchange.status)
+    fixture.set_behaviour("good")
+    check(statuses.count(200) > 300, f"{ {status: statuses.count(status) for status in set(statuses)} }")
+
+
+def late_refusal_inside_the_response_is_not_taken_for_it(fixture):
+    def make(_, __, response):
+        head, body = response.split(b"\r\n\r\n", 1)
+        return [head + b"\r\n\r\n", refusal("") + body]
+
+    fixture.set_behaviour(late := LateResponses(make))
+    statuses = [Exchange(fixture.hosts[0].callers, "POST", "/book/1").status for _ in range(REQUESTS)]
+    fixture.set_behaviour("good")
+    # The bytes of the refusal stand where the body should: only the signature, which callers check, tells.
+    check(late.hits > 0 and not set(statuses) & set(NOT_RUN), f"{statuses}")
+
+
+CASES = [
+    late_refusals_are_not_taken_for_the_response,
+    late_refusals_in_pieces_are_not_taken_for_the_response,
+    late_refusals_without_a_response_leave_the_outcome_open,
+    refusal_on_a_new_connection_without_an_id_leaves_the_outcome_open,
+    late_refusals_at_any_moment_are_not_taken_for_the_response,
+    late_refusal_inside_the_response_is_not_taken_for_it,
+]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
