Connections with a late response are not kept

A server that repeats responses could put one before every later response of a connection, and each request on it was exposed to them.

Cause: a connection was kept after a late response had been skipped on it, as if it were in step again.

It is now closed after the response of the request. No host waits for that: the next request opens another connection.

The new case of tests/backend_responses_test.py failed on the code before: "of the previous request: 24 requests on connections with a late response".

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -204,8 +204,13 @@
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
-            if (error || !complete || !isStale(services.headerNames, request, connection, complete->message))
+            if (error || !complete)
                 co_return complete;
+            if (!isStale(services.headerNames, request, connection, complete->message)) {
+                // After a late response a further one may follow.
+                complete->keepsConnection = complete->keepsConnection && stale == 0;
+                co_return complete;
+            }
             log(Event("response-id-mismatch").with("request", request.id).with("received_id", complete->message[services.headerNames.requestId]));
             if (!complete->keepsConnection)
                 break;
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -134,6 +134,13 @@
         check(statuses == [200] * REQUESTS, f"split at {split}: {statuses}")
 
 
+def connection_with_a_late_response_is_not_kept(fixture):
+    for name in ("of the previous request", "without an id"):
+        late = LateResponses(lambda previous, current, response, name=name: [LATE_REFUSALS[name](previous, current) + response])
+        send_bookings(fixture, late, name)
+        check(late.kept_after == 0, f"{name}: {late.kept_after} requests on connections with a late response")
+
+
 def late_refusals_without_a_response_leave_the_outcome_open(fixture):
     closing = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
     for name, pieces in {"closing": [closing], "too many": [refusal("") * 8]}.items():
@@ -197,6 +204,7 @@
 CASES = [
     late_refusals_are_not_taken_for_the_response,
     late_refusals_in_pieces_are_not_taken_for_the_response,
+    connection_with_a_late_response_is_not_kept,
     late_refusals_without_a_response_leave_the_outcome_open,
     refusal_on_a_new_connection_without_an_id_leaves_the_outcome_open,
     late_refusals_at_any_moment_are_not_taken_for_the_response,
