Only the server's statement says that a request did not run

Callers were told by status 408, 421, 429 or 503 that their request did not run, although the server that sent the status did not state that. A success that carried the statement was taken for a refusal, and the request went to a second server.

Cause: a response without the statement was passed on whatever its status, and status 421 alone or the statement alone were enough for a refusal. The protocol of the servers gives this meaning to the statement only, which comes with an error status; for callers the status itself is the promise.

Where status and statement differ, the outcome is open: a request that may run only once ends with 502, a repeatable one may go to another server.

The new case of tests/backend_responses_test.py failed on the code before: "408: POST /book/1, status 408, 1 executions", and for the statement on a success "POST /book/1, status 503, 1 executions".

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -3,6 +3,7 @@
 #include "HopByHopHeaders.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace lacewingsail::internal {
@@ -24,6 +25,8 @@
     constexpr std::chrono::milliseconds overloadBackOff { 200 };
     constexpr std::chrono::seconds misdirectedBackOff { 3 };
     constexpr unsigned misdirectedStatus = 421;
+    // By these statuses callers learn that their request did not run.
+    constexpr std::array notRunStatuses { 408U, misdirectedStatus, 429U, 503U };
 
     using ResponseParser = http::response_parser<http::string_body>;
 
@@ -221,10 +224,18 @@
 
     bool isSuccess(const ResponseMessage& response) { return response.result_int() >= 200 && response.result_int() < 300; }
 
+    // No status states by itself that the request did not run.
+    bool statesNotRun(const HeaderNames& names, const ResponseMessage& response)
+    {
+        return response.count(names.notRun) != 0 && response.result_int() >= 400;
+    }
+
     // A success must have the server's signature and no content encoding: the body must consist of the bytes that the
-    // server sent.
+    // server sent. A status that tells callers that the request did not run needs the server's statement.
     bool isInvalid(const HeaderNames& names, const ResponseMessage& response)
     {
+        if (std::ranges::find(notRunStatuses, response.result_int()) != notRunStatuses.end() || response.count(names.notRun) != 0)
+            return true;
         return isSuccess(response) && (response[names.signature].empty() || response.count(http::field::content_encoding) != 0);
     }
 
@@ -282,7 +293,7 @@
             server.remoteStats.inFlight = std::max(0.0, *load - server.localStats.inFlight);
             report.outcome.reportedLoad = std::max(0.0, *load - 1);
         }
-        if (!response[names.notRun].empty() || response.result_int() == misdirectedStatus) {
+        if (statesNotRun(names, response)) {
             const bool misdirected = response.result_int() == misdirectedStatus;
             server.overloadedUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(overloadBackOff));
             recordAttemptOutcome(services, server, AttemptStatus::NotRun, response.result_int(), startedAt);
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -162,6 +162,18 @@
     fixture.set_behaviour("good")
 
 
+def status_and_statement_that_differ_leave_the_outcome_open(fixture):
+    for status, statement in [(status, "") for status in NOT_RUN] + [(200, "Not-Executed: 1\r\n")]:
+        def respond(handler, _, status=status, fields=f"{statement}Response-Signature: s1\r\nContent-Length: 0\r\n"):
+            handler.record_execution()
+            handler.wfile.write(f"HTTP/1.1 {status} X\r\n{naming(handler.headers['Attempt-Id'])}{fields}\r\n".encode())
+
+        fixture.set_behaviour(respond)
+        exchange = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+        check(exchange.check(fixture, f"{status} {statement}") == 1 and exchange.status == 502, f"{status}: {exchange.status}")
+    fixture.set_behaviour("good")
+
+
 def late_refusals_at_any_moment_are_not_taken_for_the_response(fixture):
     hits = itertools.count()
 
@@ -207,6 +219,7 @@
     connection_with_a_late_response_is_not_kept,
     late_refusals_without_a_response_leave_the_outcome_open,
     refusal_on_a_new_connection_without_an_id_leaves_the_outcome_open,
+    status_and_statement_that_differ_leave_the_outcome_open,
     late_refusals_at_any_moment_are_not_taken_for_the_response,
     late_refusal_inside_the_response_is_not_taken_for_it,
 ]
