A connection does not carry an id again that was refused on it

A caller that used the id of a refused request again could be told that the further request did not run while a server ran it, or it ran on two servers: a second copy of the refusal names the new request as well.

Cause: connections were reused for any request, and ids are all that tells responses apart.

A connection remembers hashes of the ids that were refused on it, up to 64, and is closed when one of them is to be sent again or when there are more. Hashes that collide cost a new connection only.

The new case of tests/backend_responses_test.py failed on the code before: "further use: POST /book/1, status 503, 1 executions".

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -342,7 +342,7 @@
     const MonotonicTime deadline = request->deadline;
     const InFlightGuard inFlight(server);
     const Duration maxIdleTime = isRepeatable(*request) ? Duration(maxIdleRepeatable) : Duration(maxIdleUnrepeatable);
-    BackendConnectionPtr connection = takeIdleConnection(*server, services.clock.now(), maxIdleTime);
+    BackendConnectionPtr connection = takeIdleConnection(*server, services.clock.now(), maxIdleTime, request->id);
     if (!connection)
         connection = co_await connect(services, *request, *server, deadline);
     if (!connection) {
@@ -376,6 +376,8 @@
         connection->stream.close();
         co_return reportFailure(services, *request, *server, watch.abandoned() ? beast::error::timeout : error, startedAt);
     }
+    if (statesNotRun(services.headerNames, complete->message))
+        recordRefusal(*connection, request->id);
     const bool reusable = complete->keepsConnection && *written && connection->buffer.size() == 0;
     if (reusable)
         addIdleConnection(*server, connection, services.clock.now(), keepAliveTimeout(complete->message));
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr std::size_t maxIdleConnections = 8;
+    // A connection with more refusals than it can remember is closed.
+    constexpr std::size_t maxRefusedIds = 64;
     // An idle connection is dropped this long before the server's own timeout, so that no request is sent while the
     // server closes it.
     constexpr std::chrono::milliseconds keepAliveMargin { 700 };
@@ -143,23 +145,30 @@
     }
 }
 
-BackendConnectionPtr takeIdleConnection(BackendState& state, MonotonicTime now, Duration maxIdleTime)
+BackendConnectionPtr takeIdleConnection(BackendState& state, MonotonicTime now, Duration maxIdleTime, std::string_view requestId)
 {
+    const std::size_t hash = std::hash<std::string_view>()(requestId);
     while (!state.idleConnections.empty()) {
         BackendConnectionPtr connection = state.idleConnections.back();
         const bool recent = now - connection->idleSince < maxIdleTime;
         if (!recent && now < connection->openUntil)
             return nullptr;
         state.idleConnections.pop_back();
-        if (recent && now < connection->openUntil && isReusable(*connection))
+        const bool refused = std::ranges::find(connection->refusedIds, hash) != connection->refusedIds.end();
+        if (recent && now < connection->openUntil && !refused && isReusable(*connection))
             return connection;
     }
     return nullptr;
 }
 
+void recordRefusal(BackendConnection& connection, std::string_view requestId)
+{
+    connection.refusedIds.push_back(std::hash<std::string_view>()(requestId));
+}
+
 void addIdleConnection(BackendState& state, BackendConnectionPtr connection, MonotonicTime now, Duration keepAlive)
 {
-    if (state.idleConnections.size() >= maxIdleConnections || !state.acceptsRequests || keepAlive <= keepAliveMargin)
+    if (connection->refusedIds.size() > maxRefusedIds || state.idleConnections.size() >= maxIdleConnections || !state.acceptsRequests || keepAlive <= keepAliveMargin)
         return;
     connection->idleSince = now;
     connection->openUntil = now + keepAlive - keepAliveMargin;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace lacewingsail::internal {
@@ -25,6 +26,8 @@
     MonotonicTime openUntil {};
     /// Whether it carried an earlier request, to which a late response may arrive.
     bool reused = false;
+    /// Hashes of the ids of requests that the server refused on it.
+    std::vector<std::size_t> refusedIds;
 };
 
 using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
@@ -98,7 +101,13 @@
 
 /// \brief Removes and returns an idle connection that is still open, has no unread data and was used less than
 /// \p maxIdleTime ago. \returns null if there is none.
-BackendConnectionPtr takeIdleConnection(BackendState&, MonotonicTime now, Duration maxIdleTime);
+///
+/// A connection on which a request with the same id was refused is closed instead: another copy of that refusal could not be
+/// told from the response to this request.
+BackendConnectionPtr takeIdleConnection(BackendState&, MonotonicTime now, Duration maxIdleTime, std::string_view requestId);
+
+/// \brief Records that the server refused a request on this connection.
+void recordRefusal(BackendConnection&, std::string_view requestId);
 
 /// \brief Keeps a connection for reuse. Its last response must have been read completely.
 /// \param keepAlive idle timeout of the server.
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -213,6 +213,36 @@
     check(late.hits > 0 and not set(statuses) & set(NOT_RUN), f"{statuses}")
 
 
+def repeated_id_is_not_answered_by_its_earlier_refusal(fixture):
+    """A caller uses an id again. The refusal of its first use must not answer the second one, which the server runs."""
+    refused, late = {}, []
+
+    def respond(handler, body):
+        request_id = handler.headers["Attempt-Id"]
+        key = handler.headers["Target-Instance"], request_id
+        if key not in refused:
+            refused[key] = handler.client_address
+            return handler.wfile.write(refusal(naming(request_id)))
+        handler.record_execution()
+        late.append(refused[key] == handler.client_address)
+        return handler.wfile.write((refusal(naming(request_id)) if late[-1] else b"") + b"".join(complete_response(handler, body)))
+
+    for index in range(4):
+        request_id = f"again-{index}"
+        fixture.set_behaviour(respond)
+        refused_use = Exchange(fixture.hosts[0].callers, "POST", "/book/1", request_id)
+        check(refused_use.check(fixture, "first use") == 0 and refused_use.status == 503, f"status {refused_use.status}")
+        # The servers are avoided for a while after their refusals.
+        statuses = []
+        while 200 not in statuses and len(statuses) < 40:
+            before = len(fixture.executions(request_id))
+            statuses.append((again := Exchange(fixture.hosts[0].callers, "POST", "/book/1", request_id)).status)
+            again.check(fixture, "further use", before)
+            time.sleep(0.02)
+        check(200 in statuses, f"{statuses}")
+    fixture.set_behaviour("good")
+
+
 CASES = [
     late_refusals_are_not_taken_for_the_response,
     late_refusals_in_pieces_are_not_taken_for_the_response,
@@ -222,6 +252,7 @@
     status_and_statement_that_differ_leave_the_outcome_open,
     late_refusals_at_any_moment_are_not_taken_for_the_response,
     late_refusal_inside_the_response_is_not_taken_for_it,
+    repeated_id_is_not_answered_by_its_earlier_refusal,
 ]
 
 if __name__ == "__main__":
