Tests of responses that end in the middle of their head

No fault was found: the parser takes the end of a connection inside the status line, a field or the empty line for an incomplete response, and so it does inside a chunk, its header or the trailers. The cases show that callers of a request that may run only once then get 502 after one execution, and others a complete response of another server or an error: 33 cuts, each closed and reset, on a new and on a kept connection, for POST and GET, and the 20 inside the head for HEAD; for the older role a sample of them, and a refusal without an id.

--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -183,3 +183,27 @@
     CHECK(has(answer, "X-Lacewingsail-Execution: unknown"));
     CHECK(fixture.requestCount() == 1);
 }
+
+TEST_CASE("attempt, answer breaks off in its head, is unknown and a booking is sent once")
+{
+    const std::string head = "HTTP/1.1 200 X\r\nX-Request-Id: {ID}\r\nContent-Length: 0\r\n";
+    for (const std::string& cut : { std::string("HTTP/1.1 20"), std::string("HTTP/1.1 200 X\r\nX-Requ"), head, head + "X-Filler: 1", head + "\r", "HTTP/1.1 100 X\r\n\r\n" + head }) {
+        const ProxyFixture broken([&](const std::string&, int) -> ScriptedBackend::Reply { return { cut, Then::Close }; });
+        const std::string answer = broken.exchange(post);
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(has(answer, "X-Lacewingsail-Execution: unknown"));
+        CHECK(broken.requestCount() == 1);
+        std::atomic<int> requests { 0 };
+        const ProxyFixture repeated([&](const std::string&, int) -> ScriptedBackend::Reply {
+            return ++requests == 1 ? ScriptedBackend::Reply { cut, Then::Close } : ScriptedBackend::Reply { header(200, 5) + "whole", Then::GoOn };
+        });
+        CHECK(bodyOf(repeated.exchange(get)) == "whole");
+    }
+}
+
+TEST_CASE("attempt, refusal without the id of the request, is unknown and a booking is sent once")
+{
+    const ProxyFixture fixture([](const std::string&, int) -> ScriptedBackend::Reply { return { "HTTP/1.1 503 X\r\nX-Not-Run: shed\r\nContent-Length: 0\r\n\r\n", Then::GoOn }; });
+    CHECK(has(fixture.exchange(post), "X-Lacewingsail-Execution: unknown"));
+    CHECK(fixture.requestCount() == 1);
+}
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Gateway hosts before backend servers whose responses follow responses to other requests on the same connection.
+"""Gateway hosts before backend servers whose responses are cut off, or follow responses to other requests on the same connection.
 
 A caller may be told that its request did not run only if no server ran it, and a success must be one server's complete response.
 """
@@ -8,6 +8,8 @@
 import http.client
 import itertools
 import os
+import socket
+import struct
 import sys
 import threading
 import time
@@ -243,6 +245,105 @@
     fixture.set_behaviour("good")
 
 
+SIGNED = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Signature: s1\r\n"
+CHUNKED = SIGNED + "Transfer-Encoding: chunked\r\n"
+CUTS = {
+    "nothing": "",
+    "status line, first byte": "H",
+    "status line, version": "HTTP/1.1",
+    "status line, status": "HTTP/1.1 200",
+    "status line, before its end": "HTTP/1.1 200 OK",
+    "status line, inside its end": "HTTP/1.1 200 OK\r",
+    "after the status line": "HTTP/1.1 200 OK\r\n",
+    "field name": SIGNED + "Content-Le",
+    "field colon": SIGNED + "Content-Length:",
+    "field value": SIGNED + "Content-Length: 1",
+    "field end": SIGNED + "Content-Length: 0\r",
+    "between fields": SIGNED,
+    "after the length": SIGNED + "Content-Length: 0\r\n",
+    "after the length, inside the empty line": SIGNED + "Content-Length: 0\r\n\r",
+    "length and further field": SIGNED + "Content-Length: 0\r\nX-Filler: 1",
+    "after the coding": CHUNKED,
+    "after the coding, inside the empty line": CHUNKED + "\r",
+    "after an interim response": "HTTP/1.1 100 Continue\r\n\r\n",
+    "in the head after an interim response": "HTTP/1.1 100 Continue\r\n\r\n" + SIGNED,
+    "in the head of an interim response": "HTTP/1.1 100 Continue\r\nX-Filler: 1\r\n",
+}
+BODY_CUTS = {
+    "before the body": SIGNED + "Content-Length: 4\r\n\r\n",
+    "in the body": SIGNED + "Content-Length: 4\r\n\r\nabc",
+    "before the chunks": CHUNKED + "\r\n",
+    "chunk size": CHUNKED + "\r\n4",
+    "chunk extension": CHUNKED + "\r\n4;a=",
+    "chunk header end": CHUNKED + "\r\n4\r\n",
+    "in a chunk": CHUNKED + "\r\n4\r\nabc",
+    "after a chunk's data": CHUNKED + "\r\n4\r\nabcd",
+    "before the last chunk": CHUNKED + "\r\n4\r\nabcd\r\n",
+    "in the last chunk": CHUNKED + "\r\n4\r\nabcd\r\n0",
+    "after the last chunk": CHUNKED + "\r\n4\r\nabcd\r\n0\r\n",
+    "in the trailers": CHUNKED + "\r\n4\r\nabcd\r\n0\r\nX-Filler: 1",
+    "after the trailers": CHUNKED + "\r\n4\r\nabcd\r\n0\r\nX-Filler: 1\r\n",
+}
+
+
+class CutResponses:
+    """Behaviour of servers that cut the first response to each request whose path contains "cut"."""
+
+    def __init__(self, start, reset):
+        self.start, self.reset, self.cut, self.kept = start, reset, set(), 0
+
+    def __call__(self, handler, body):
+        request_id = handler.headers["Attempt-Id"]
+        handler.record_execution()
+        served = getattr(handler, "served", False)
+        handler.served = True
+        if "cut" not in handler.path or request_id in self.cut:
+            return handler.wfile.write(b"".join(complete_response(handler, body)))
+        self.cut.add(request_id)
+        self.kept += served
+        handler.close_connection = True
+        handler.wfile.write(self.start.replace("ID", request_id).encode())
+        handler.wfile.flush()
+        if self.reset:
+            # Until the bytes have been read: a reset discards what the receiver has not read.
+            time.sleep(PAUSE_S)
+            handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            handler.connection.close()
+        return None
+
+
+def check_cut(fixture, name, start, method, path, counts):
+    for reset, kept in itertools.product((False, True), repeat=2):
+        what = f"{name}, {'reset' if reset else 'closed'}, {'kept' if kept else 'new'} connection"
+        fixture.set_behaviour(cut := CutResponses(start, reset))
+        if kept:
+            Exchange(fixture.hosts[0].callers, "GET", "/look/1").check(fixture, what)
+        exchange = Exchange(fixture.hosts[0].callers, method, path)
+        exchange.check(fixture, what)
+        counts[exchange.status] = counts.get(exchange.status, 0) + 1
+        counts["kept"] = counts.get("kept", 0) + cut.kept
+        if path.startswith("/book/"):
+            check(exchange.status == 502 or not cut.cut, f"{what}: status {exchange.status}")
+    fixture.set_behaviour("good")
+
+
+def cut_responses_to_bookings_leave_the_outcome_open(fixture):
+    counts = {}
+    for name, start in (CUTS | BODY_CUTS).items():
+        check_cut(fixture, name, start, "POST", "/book/cut", counts)
+    print(f"bookings: {counts}", flush=True)
+    check(counts.get(502, 0) > 100 and counts["kept"] > 10, f"{counts}")
+
+
+def cut_responses_to_reads_are_replaced_or_fail(fixture):
+    for method in ("GET", "HEAD"):
+        counts = {}
+        for name, start in (CUTS if method == "HEAD" else CUTS | BODY_CUTS).items():
+            check_cut(fixture, name, start, method, "/look/cut", counts)
+        print(f"{method}: {counts}", flush=True)
+        check(counts.get(200, 0) > 0 and counts["kept"] > 0, f"{method}: {counts}")
+
+
 CASES = [
     late_refusals_are_not_taken_for_the_response,
     late_refusals_in_pieces_are_not_taken_for_the_response,
@@ -253,6 +354,8 @@
     late_refusals_at_any_moment_are_not_taken_for_the_response,
     late_refusal_inside_the_response_is_not_taken_for_it,
     repeated_id_is_not_answered_by_its_earlier_refusal,
+    cut_responses_to_bookings_leave_the_outcome_open,
+    cut_responses_to_reads_are_replaced_or_fail,
 ]
 
 if __name__ == "__main__":
