Control clients drop kept connections with unread data

A server that sent bytes after a complete response had them taken for the response to the next call on that connection, and from then on each call got the response to the one before.

Cause: a connection was kept whenever its response allowed that, whatever followed it. Responses to control calls carry no ids.

The client looks for unread data, or the end of the connection, before it reuses it and opens another one then. Bytes that arrive after this look, before the call is sent, still cannot be told from a response.

The new test failed on the code before: CHECK( first != second ) with the values 1 and 1, on one connection.

--- a/packages/http/lacewingsail/src/Http/HttpClient.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpClient.cpp
@@ -49,6 +49,17 @@
         return response;
     }
 
+    // Nothing may follow a response before the next request. Without ids, what does would be taken for the next response.
+    bool hasUnreadData(ControlConnection& connection)
+    {
+        auto& socket = connection.stream.socket();
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek, error);
+        return connection.buffer.size() != 0 || error != net::error::would_block;
+    }
+
     net::awaitable<void> exchange(ControlConnection& connection, const Endpoint& endpoint, const http::request<http::string_body>& request,
         http::response_parser<http::string_body>& parser, const std::atomic<bool>& interrupted)
     {
@@ -120,7 +131,7 @@
 HttpResponse HttpClient::send(const HttpRequest& request, std::chrono::milliseconds timeout, std::error_code& error)
 {
     auto& connection = m_implementation->connection;
-    if (!connection)
+    if (!connection || (connection->open && internal::hasUnreadData(*connection)))
         connection = std::make_unique<internal::ControlConnection>(m_implementation->context);
     http::response_parser<http::string_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,3 +1,5 @@
+#include "ProxyFixture.h"
+
 #include <lacewingsail/Http.h>
 
 #include <doctest/doctest.h>
@@ -7,6 +9,7 @@
 #include <thread>
 
 using namespace lacewingsail;
+using lacewingsail::testing::ScriptedBackend;
 
 namespace {
 
@@ -79,3 +82,18 @@
     client.send({ "GET", "/", {}, {} }, generousTimeout, error);
     CHECK(error);
 }
+
+TEST_CASE("send, surplus response after the first one, is not taken for the second one")
+{
+    const ScriptedBackend server([](const std::string&, int count) -> ScriptedBackend::Reply {
+        const std::string response = "HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n" + std::to_string(count % 10);
+        return { response + response };
+    });
+    HttpClient client(server.endpoint());
+    std::error_code error;
+    const std::string first = client.send({ "GET", "/", {}, {} }, generousTimeout, error).body;
+    const std::string second = client.send({ "GET", "/", {}, {} }, generousTimeout, error).body;
+    CHECK_FALSE(error);
+    CHECK(first != second);
+    CHECK(server.connections() == 2);
+}
