Calls to the store drop kept connections with unread data

A store that sent a response twice had the copy taken for the response to the next call of the host, which then decoded it as something that it is not.

Cause: a lane kept its connection whatever followed a response. Calls to the store carry no ids.

The lane looks for unread data, or the end of the connection, before it reuses the connection and opens another one then. Bytes that arrive after this look, before the call is sent, still cannot be told from a response.

--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -23,6 +23,16 @@
         return message;
     }
 
+    // Nothing may follow a response before the next request. Without ids, what does would be taken for the next response.
+    bool hasUnreadData(beast::tcp_stream& stream, const beast::flat_buffer& buffer)
+    {
+        boost::system::error_code error;
+        stream.socket().non_blocking(true, error);
+        char byte = 0;
+        stream.socket().receive(net::buffer(&byte, 1), net::socket_base::message_peek, error);
+        return buffer.size() != 0 || error != net::error::would_block;
+    }
+
     HttpResponse takeResponse(ResponseParser& parser)
     {
         HttpResponse response;
@@ -51,7 +61,7 @@
     // A copy of the pointer, as another call may replace the lane's connection while this one is being opened.
     std::shared_ptr<Connection> connection = m_lanes[lane];
     boost::system::error_code error;
-    if (!connection || connection->busy || !connection->stream.socket().is_open()) {
+    if (!connection || connection->busy || !connection->stream.socket().is_open() || hasUnreadData(connection->stream, connection->buffer)) {
         connection = std::make_shared<Connection>(m_context);
         m_lanes[lane] = connection;
         connection->busy = true;
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -17,8 +17,9 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from fleet.gateway_fixture import check, run_cases
-from fleet.platform_standins import host_and_port
+from fleet.gateway_fixture import ACCOUNTS, BUILD, ROUTES, check, run_cases
+from fleet.platform_standins import Gateway, host_and_port
+from fleet.processes import wait_until
 
 # Statuses by which the platform's callers learn that a request did not run.
 NOT_RUN = (408, 421, 429, 503)
@@ -344,6 +345,35 @@
         check(counts.get(200, 0) > 0 and counts["kept"] > 0, f"{method}: {counts}")
 
 
+def surplus_responses_of_the_store_are_not_taken_for_later_ones(fixture):
+    """The store sends each response twice. A host that starts then reads its configuration and servers all the same."""
+    handler = fixture.store.server.RequestHandlerClass
+    surplus = []
+
+    class Repeating(handler):
+        def reply(self, *arguments, **named):
+            super().reply(*arguments, **named)
+            surplus.append(self.path)
+            super().reply(*arguments, **named)
+
+    fixture.store.server.RequestHandlerClass = Repeating
+    host = Gateway("host-surplus", "a", fixture.store, fixture.directory, BUILD)
+    try:
+        host.await_ready()
+        for _ in range(10):
+            exchange = Exchange(host.callers, "GET", "/look/1")
+            check(exchange.check(fixture, "surplus responses of the store") == 1 and exchange.status == 200, f"status {exchange.status}")
+        for index in range(3):
+            fixture.publish(ROUTES + [(f"/look/added-{index}/", "idempotent", "desk", 3, 3, False)], ACCOUNTS)
+            wait_until(lambda: any(f"event=configuration-activated version={fixture.version} " in line for line in host.log_lines()), "the new version")
+        malformed = [line for line in host.log_lines() if "malformed" in line or "not-decoded" in line]
+        check(surplus and not malformed, f"{len(surplus)} surplus responses, {malformed}")
+    finally:
+        fixture.store.server.RequestHandlerClass = handler
+        fixture.publish(ROUTES, ACCOUNTS)
+        host.process.kill()
+
+
 CASES = [
     late_refusals_are_not_taken_for_the_response,
     late_refusals_in_pieces_are_not_taken_for_the_response,
@@ -356,6 +386,7 @@
     repeated_id_is_not_answered_by_its_earlier_refusal,
     cut_responses_to_bookings_leave_the_outcome_open,
     cut_responses_to_reads_are_replaced_or_fail,
+    surplus_responses_of_the_store_are_not_taken_for_later_ones,
 ]
 
 if __name__ == "__main__":
