--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -3,6 +3,7 @@
 #include "HopByHopHeaders.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace lacewingsail::internal {
@@ -24,6 +25,8 @@
     constexpr std::chrono::milliseconds overloadBackOff { 200 };
     constexpr std::chrono::seconds misdirectedBackOff { 3 };
     constexpr unsigned misdirectedStatus = 421;
+    // By these statuses callers learn that their request did not run.
+    constexpr std::array notRunStatuses { 408U, misdirectedStatus, 429U, 503U };
 
     using ResponseParser = http::response_parser<http::string_body>;
 
@@ -185,19 +188,32 @@
         co_return std::nullopt;
     }
 
-    // On a reused connection a late response to an earlier request may arrive first.
-    bool isForAnotherRequest(const HeaderNames& names, const RequestState& request, const ResponseMessage& response)
+    // A response belongs to the request whose id it repeats. With several ids it belongs to none.
+    bool namesRequest(const HeaderNames& names, const RequestState& request, const ResponseMessage& response)
     {
+        return !request.id.empty() && response.count(names.requestId) == 1 && response[names.requestId] == request.id;
+    }
+
+    // On a reused connection a late response to an earlier request may arrive first, and it may lack an id.
+    bool isStale(const HeaderNames& names, const RequestState& request, const BackendConnection& connection, const ResponseMessage& response)
+    {
+        if (namesRequest(names, request, response))
+            return false;
         const auto id = response[names.requestId];
-        return !id.empty() && id != request.id;
+        return connection.reused || (!id.empty() && id != request.id);
     }
 
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(const RequestServices& services, const RequestState& request, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
-            if (error || !complete || !isForAnotherRequest(services.headerNames, request, complete->message))
+            if (error || !complete)
                 co_return complete;
+            if (!isStale(services.headerNames, request, connection, complete->message)) {
+                // After a late response a further one may follow.
+                complete->keepsConnection = complete->keepsConnection && stale == 0;
+                co_return complete;
+            }
             log(Event("response-id-mismatch").with("request", request.id).with("received_id", complete->message[services.headerNames.requestId]));
             if (!complete->keepsConnection)
                 break;
@@ -208,11 +224,17 @@
 
     bool isSuccess(const ResponseMessage& response) { return response.result_int() >= 200 && response.result_int() < 300; }
 
-    // Every response must repeat the request id. A success must also have the server's signature and no content
-    // encoding: the body must consist of the bytes that the server sent.
+    // No status states by itself that the request did not run.
+    bool statesNotRun(const HeaderNames& names, const ResponseMessage& response)
+    {
+        return response.count(names.notRun) != 0 && response.result_int() >= 400;
+    }
+
+    // A success must have the server's signature and no content encoding: the body must consist of the bytes that the
+    // server sent. A status that tells callers that the request did not run needs the server's statement.
     bool isInvalid(const HeaderNames& names, const ResponseMessage& response)
     {
-        if (response[names.requestId].empty())
+        if (std::ranges::find(notRunStatuses, response.result_int()) != notRunStatuses.end() || response.count(names.notRun) != 0)
             return true;
         return isSuccess(response) && (response[names.signature].empty() || response.count(http::field::content_encoding) != 0);
     }
@@ -247,20 +269,31 @@
         return outcome;
     }
 
+    AttemptReport reportInvalid(RequestServices& services, BackendState& server, AttemptReport report, const ResponseMessage& response, MonotonicTime startedAt)
+    {
+        recordAttemptOutcome(services, server, AttemptStatus::Unknown, response.result_int(), startedAt);
+        report.status = AttemptStatus::Unknown;
+        report.code = ResultCode::UpstreamWrongAnswer;
+        return report;
+    }
+
     AttemptReport reportResponse(RequestServices& services, const RequestState& request, BackendState& server, ResponseMessage response, MonotonicTime startedAt)
     {
         const HeaderNames& names = services.headerNames;
         const MonotonicTime now = services.clock.now();
-        const auto load = reportedLoad(names, response);
-        // The reported load covers all hosts; this host knows its own part exactly.
-        if (load)
-            server.remoteStats.inFlight = std::max(0.0, *load - server.localStats.inFlight);
         recordConnectSuccess(server);
         AttemptReport report;
         report.outcome = makeOutcome(PlacementStatus::Failed, services, startedAt);
-        if (load)
+        // What the response says, also about whether the request ran, holds only if it belongs to the request.
+        if (!namesRequest(names, request, response))
+            return reportInvalid(services, server, std::move(report), response, startedAt);
+        const auto load = reportedLoad(names, response);
+        // The reported load covers all hosts; this host knows its own part exactly.
+        if (load) {
+            server.remoteStats.inFlight = std::max(0.0, *load - server.localStats.inFlight);
             report.outcome.reportedLoad = std::max(0.0, *load - 1);
-        if (!response[names.notRun].empty() || response.result_int() == misdirectedStatus) {
+        }
+        if (statesNotRun(names, response)) {
             const bool misdirected = response.result_int() == misdirectedStatus;
             server.overloadedUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(overloadBackOff));
             recordAttemptOutcome(services, server, AttemptStatus::NotRun, response.result_int(), startedAt);
@@ -270,12 +303,8 @@
             report.code = ResultCode::Overloaded;
             return report;
         }
-        if (isInvalid(names, response)) {
-            recordAttemptOutcome(services, server, AttemptStatus::Unknown, response.result_int(), startedAt);
-            report.status = AttemptStatus::Unknown;
-            report.code = ResultCode::UpstreamWrongAnswer;
-            return report;
-        }
+        if (isInvalid(names, response))
+            return reportInvalid(services, server, std::move(report), response, startedAt);
         recordAttemptOutcome(services, server, AttemptStatus::Answered, response.result_int(), startedAt);
         if (response.result_int() >= 500)
             log(Event("server-error-response").with("request", request.id).with("server", server.registration.id).with("status", static_cast<long long>(response.result_int())));
@@ -313,7 +342,7 @@
     const MonotonicTime deadline = request->deadline;
     const InFlightGuard inFlight(server);
     const Duration maxIdleTime = isRepeatable(*request) ? Duration(maxIdleRepeatable) : Duration(maxIdleUnrepeatable);
-    BackendConnectionPtr connection = takeIdleConnection(*server, services.clock.now(), maxIdleTime);
+    BackendConnectionPtr connection = takeIdleConnection(*server, services.clock.now(), maxIdleTime, request->id);
     if (!connection)
         connection = co_await connect(services, *request, *server, deadline);
     if (!connection) {
@@ -347,6 +376,8 @@
         connection->stream.close();
         co_return reportFailure(services, *request, *server, watch.abandoned() ? beast::error::timeout : error, startedAt);
     }
+    if (statesNotRun(services.headerNames, complete->message))
+        recordRefusal(*connection, request->id);
     const bool reusable = complete->keepsConnection && *written && connection->buffer.size() == 0;
     if (reusable)
         addIdleConnection(*server, connection, services.clock.now(), keepAliveTimeout(complete->message));
