A key that is no id does not stop the exchange between hosts

Callers of a host that follows the store through another one saw old servers, and hosts avoided each other, once a record of the servers' topic had a key that is no valid UTF-8. The key became the id of a server, or of a removal if its value could not be decoded; protobuf writes such a string field and refuses to parse it. Ids with line ends would have gone into the header field that names the server.

Ids, services and availability zones have to be visible ASCII characters, at most as many as a key of the store can have. A record whose key is none is skipped and logged by its offset; a registration with such a service or zone names no server to use. News of other hosts are checked in the same way. The follower's test registers a complete server now.

--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
@@ -150,11 +150,20 @@
     return changed;
 }
 
-ServerChange StoreFollower::decode(const KeyedRecord& record) const
+// A key that cannot be the id of a server is skipped altogether: its removal could not be sent to other hosts either.
+std::optional<ServerChange> StoreFollower::decode(const KeyedRecord& record) const
 {
+    if (!isValidName(record.key)) {
+        log(Event("server-key-malformed").with("offset", static_cast<long long>(number(record.offset))));
+        return std::nullopt;
+    }
     ServerChange change { BackendServerId(record.key), record.offset, std::nullopt, std::nullopt };
     if (record.value)
         change.server = m_decoder(change.id, *record.value);
+    if (const auto field = change.server ? invalidField(*change.server) : std::nullopt) {
+        log(Event("server-record-malformed").with("server", change.id).with("reason", *field));
+        change.server.reset();
+    }
     return change;
 }
 
@@ -162,8 +171,10 @@
 {
     const MonotonicTime now = m_clock.now();
     std::vector<ServerChange> changes;
-    for (const KeyedRecord& record : result.records)
-        changes.push_back(decode(record));
+    for (const KeyedRecord& record : result.records) {
+        if (auto change = decode(record))
+            changes.push_back(std::move(*change));
+    }
     if (isSnapshot)
         return m_registry.replace(changes, result.nextOffset, storeHealth(), now);
     bool changed = false;
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
@@ -64,7 +64,7 @@
     void handleRead(FollowedStream&, const StoreReadResult&, MonotonicTime requestedAt, bool isSnapshot);
     bool applyConfiguration(const StoreReadResult&);
     bool applyServers(const StoreReadResult&, bool isSnapshot);
-    ServerChange decode(const KeyedRecord&) const;
+    std::optional<ServerChange> decode(const KeyedRecord&) const;
     void advanceAsOf(FollowedStream&, MonotonicTime asOf);
     void recordFailure(FollowedStream&, ResultCode);
     void recordSuccess(FollowedStream&, MonotonicTime asOf);
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -1,5 +1,7 @@
 #include "ExchangeCodec.h"
 
+#include <lacewingsail/Observe.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -124,6 +126,8 @@
 
 std::optional<ServerChange> decode(const protocol::ServerNews& message)
 {
+    if (!isValidName(message.id()))
+        return std::nullopt;
     ServerChange change { BackendServerId(message.id()), LogOffset { message.offset() }, std::nullopt, std::nullopt };
     if (message.service().empty())
         return change;
@@ -138,6 +142,10 @@
     server.warmupLeft = std::chrono::milliseconds(message.warmup_left_ms());
     server.startedAt = std::chrono::milliseconds(message.born_ms());
     server.heartbeat = message.heartbeat();
+    if (const auto field = invalidField(server)) {
+        log(Event("server-record-malformed").with("server", server.id).with("reason", *field));
+        return change;
+    }
     change.server = std::move(server);
     if (message.lapsed())
         change.expiredFor = std::chrono::milliseconds(message.lapsed_for_ms());
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -32,6 +32,7 @@
 #include "src/Policy/OutlierDetection.h"
 #include "src/Policy/PlacementCell.h"
 #include "src/Policy/Recovery.h"
+#include "src/Policy/RegistrationCheck.h"
 #include "src/Policy/Relays.h"
 #include "src/Policy/RetryBudget.h"
 #include "src/Policy/RouteTable.h"
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -27,6 +27,9 @@
                                     return std::nullopt;
                                 RegisteredServer server;
                                 server.id = id;
+                                server.service = ServiceId("desk");
+                                server.zone = ZoneId("a");
+                                server.endpoint = { "10.0.0.1", 80 };
                                 return server; },
         clock, [this] { ++changes; } };
 
