Registrations with values that no server can have name no server

Any slots, warm-up, start and heartbeat that fitted the type were taken over, and any text in place of an IP number. Requests would be placed on addresses that cannot be connected to. A warm-up of 1e300 s overflowed the conversion to milliseconds and the sum with the clock. After a record with the largest start or heartbeat under the id of a real server, every later heartbeat of that server counted as outdated, so that it was not used again. Another host could send 0 slots, by which the placement divides.

invalidField() bounds the values; the follower and the decoding of news from other hosts ask it. A warm-up that the clock cannot represent is refused on decoding. A warm-up that is slightly negative is over and stays valid.

--- a/packages/policy/lacewingsail/src/Policy/RegistrationCheck.cpp
+++ b/packages/policy/lacewingsail/src/Policy/RegistrationCheck.cpp
@@ -1,6 +1,9 @@
 #include <lacewingsail/Policy.h>
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <array>
 
 namespace lacewingsail {
 
@@ -8,8 +11,23 @@
 
     constexpr std::size_t maxNameBytes = 255;
 
+    // A server works on one request of a connection at a time and accepts some hundred connections.
+    constexpr SlotCount maxSlots { 1000 };
+    // Servers are slow for seconds after their start, and for minutes if they load much.
+    constexpr std::chrono::hours maxWarmup { 1 };
+    // The start of the year 2200.
+    constexpr std::chrono::milliseconds maxStartedAt { 7'258'118'400'000 };
+    // One heartbeat a second for 136 years.
+    constexpr std::uint64_t maxHeartbeat = 4'294'967'295;
+
     bool isVisible(char character) { return character > ' ' && character < '\x7f'; }
 
+    bool isAddress(const std::string& text)
+    {
+        std::array<unsigned char, sizeof(in6_addr)> bytes {};
+        return inet_pton(AF_INET, text.c_str(), bytes.data()) == 1 || inet_pton(AF_INET6, text.c_str(), bytes.data()) == 1;
+    }
+
 } // namespace internal
 
 bool isValidName(std::string_view name)
@@ -25,6 +43,17 @@
         return "service";
     if (!isValidName(server.zone.value()))
         return "zone";
+    if (!internal::isAddress(server.endpoint.address) || server.endpoint.port == 0)
+        return "address";
+    if (server.slots <= SlotCount { 0 } || server.slots > internal::maxSlots)
+        return "slots";
+    // A warm-up that ended a moment ago may be negative.
+    if (server.warmupLeft < -internal::maxWarmup || server.warmupLeft > internal::maxWarmup)
+        return "warm-up";
+    if (server.startedAt < std::chrono::milliseconds(0) || server.startedAt > internal::maxStartedAt)
+        return "start";
+    if (server.heartbeat > internal::maxHeartbeat)
+        return "heartbeat";
     return std::nullopt;
 }
 
--- a/tests/OddRegistrationTest.cpp
+++ b/tests/OddRegistrationTest.cpp
@@ -171,3 +171,66 @@
     CHECK_FALSE(platform_adapter::decodeConfiguration(nested));
     CHECK_FALSE(platform_adapter::decodeHost(HostId("h"), nested));
 }
+
+TEST_CASE_FIXTURE(OddRegistrationFixture, "read, value that no backend server can have, names no server")
+{
+    std::vector<Fields> odd;
+    for (const char* slots : { "0", "-1", "2147483647", "4294967296" })
+        odd.emplace_back().slots = slots;
+    for (const char* warmup : { "1e300", "-1e300", "1e15", "9.2e9" })
+        odd.emplace_back().warmup = warmup;
+    for (const char* startedAt : { "-1", "9223372036854775807", "-9223372036854775808", "18446744073709551615" })
+        odd.emplace_back().startedAt = startedAt;
+    for (const char* heartbeat : { "-1", "18446744073709551615", "18446744073709551616", "1.5" })
+        odd.emplace_back().heartbeat = heartbeat;
+    for (const char* address : { R"("10.0.0.1:0")", R"("10.0.0.1:65536")", R"("10.0.0.1:99999999999")", R"("10.0.0.1:-1")", R"("10.0.0.1:")", R"(":80")", R"("10.0.0.1")", R"("nowhere:80")", R"("10.0.0.256:80")", R"("10.0.0.1\r\n:80")" })
+        odd.emplace_back().address = address;
+    for (const Fields& fields : odd) {
+        const std::string text = fields.text();
+        CAPTURE(text);
+        readRecord("i-odd", text);
+        CHECK_FALSE(inUse("i-odd"));
+        // A server that was in use under this id and writes again is heard.
+        readRecord("i-good", text);
+        CHECK_FALSE(inUse("i-good"));
+        readRecord("i-good", Fields().text());
+        CHECK(inUse("i-good"));
+    }
+}
+
+TEST_CASE_FIXTURE(OddRegistrationFixture, "read, warm-up is over for a moment already, keeps the server in use")
+{
+    Fields fields;
+    fields.warmup = "-0.25";
+    readRecord("i-1", fields.text());
+    CHECK(inUse("i-1"));
+}
+
+TEST_CASE_FIXTURE(OddRegistrationFixture, "handleRequest, values of a server from another host cannot be those of a server, are not taken over")
+{
+    protocol::ExchangeRequest request;
+    request.mutable_news()->set_servers_end(99);
+    request.mutable_news()->set_servers_from(1);
+    protocol::ServerNews& server = *request.mutable_news()->add_servers();
+    protocol::ExchangeReply reply;
+    std::uint64_t serverOffset = 1;
+    const auto isTakenOver = [&](std::uint32_t slots, std::uint32_t warmupMs, std::uint64_t startedAtMs, std::uint64_t heartbeat) {
+        server.set_id("i-1");
+        server.set_offset(++serverOffset);
+        server.set_service("desk");
+        server.set_zone("a");
+        server.set_endpoint("10.0.0.1:80");
+        server.set_slots(slots);
+        server.set_warmup_left_ms(warmupMs);
+        server.set_born_ms(startedAtMs);
+        server.set_heartbeat(heartbeat);
+        exchange.handleRequest(request, reply);
+        return inUse("i-1");
+    };
+    CHECK_FALSE(isTakenOver(0, 0, 0, 1));
+    CHECK_FALSE(isTakenOver(4294967295U, 0, 0, 1));
+    CHECK_FALSE(isTakenOver(6, 4294967295U, 0, 1));
+    CHECK_FALSE(isTakenOver(6, 0, 18446744073709551615U, 1));
+    CHECK_FALSE(isTakenOver(6, 0, 0, 18446744073709551615U));
+    CHECK(isTakenOver(6, 1000, 1700000000000U, 1));
+}
