One item that cannot be read does not hide the rest of a page

A host that started, or whose records had expired, discarded the whole page of newest records if one item lacked a field, had one of another type, or had a key that is no valid UTF-8. It repeated the read, and did not become ready unless another host told it the servers. In the test of real hosts a host alone with such records was not ready within 15 s.

Keys are parsed as bytes.

--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -130,6 +130,49 @@
     CHECK(reading->nextOffset == LogOffset { 8 });
 }
 
+TEST_CASE_FIXTURE(StoreClientFixture, "newest, items of a page that cannot be read, are skipped and the others hold")
+{
+    const std::vector<std::string> odd { "7", "[]", "{}", R"({"key":"i-2","value":7,"offset":4})", R"({"key":"i-2","value":null,"offset":4})", R"({"key":"i-2","value":"e30="})", R"({"key":"i-2","value":"e30=","offset":-1})", R"({"key":7,"value":"e30=","offset":4})",
+        R"({"key":"i-2","value":"e30=","offset":1e300})" };
+    for (const std::string& item : odd) {
+        CAPTURE(item);
+        reading.reset();
+        store.readLatest(RecordStream::Servers, [this](StoreReadResult result) { reading = std::move(result); });
+        calls.respondToFirst(200, R"({"items":[{"key":"i-1","value":"e30=","offset":3},)" + item + R"(,{"key":"i-3","value":"e30=","offset":5}],"more":false,"end":8})");
+        REQUIRE(reading);
+        CHECK(reading->code == ResultCode::Ok);
+        REQUIRE(reading->records.size() == 2);
+        CHECK(reading->records[0].key == "i-1");
+        CHECK(reading->records[1].key == "i-3");
+    }
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "newest, key that is no valid UTF-8, does not hide the other keys and is continued after")
+{
+    store.readLatest(RecordStream::Servers, [this](StoreReadResult result) { reading = std::move(result); });
+    calls.respondToFirst(200, "{\"items\":[{\"key\":\"i-1\",\"value\":\"e30=\",\"offset\":3},{\"key\":\"\xff\xfe\",\"value\":\"e30=\",\"offset\":4}],\"more\":true,\"end\":8}");
+    REQUIRE(calls.calls.size() == 1);
+    CHECK(calls.calls.front().request.target == "/log-newest?topic=keyed.servers&part=0&after=%FF%FE");
+    calls.respondToFirst(200, R"({"items":[],"more":false,"end":8})");
+    REQUIRE(reading);
+    CHECK(reading->code == ResultCode::Ok);
+    CHECK(reading->records.front().key == "i-1");
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "read, empty, truncated and nameless records, are skipped or passed on and the offsets hold")
+{
+    read(RecordStream::Servers);
+    calls.respondToFirst(200, bigEndian(46, 8) + bigEndian(0, 8) + bigEndian(0, 4) + bigEndian(2, 4) + "\xff"
+                                                                                                       "k"
+            + record("", "{}") + record("\xff\xfe", "{}") + record(std::string(255, 'k'), "{}") + record("i-1", "{}"));
+    REQUIRE(reading);
+    CHECK(reading->code == ResultCode::Ok);
+    CHECK(reading->nextOffset == LogOffset { 46 });
+    REQUIRE(reading->records.size() == 4);
+    CHECK(reading->records[3].key == "i-1");
+    CHECK(reading->records[3].offset == LogOffset { 45 });
+}
+
 TEST_CASE_FIXTURE(StoreClientFixture, "append, one record, sends length, key and value")
 {
     std::optional<ResultCode> code;
