Host records of no possible host change neither hosts nor limits

The newest host record sets the size of the fleet, by which a host without a coordinator divides the limits of accounts: a size of four billion would leave no tokens, and requests within their allowance would get 429. An id or zone of a host that is no valid UTF-8 would stop the exchange as that of a server did.

isValid() bounds the names and the size; records of the store and the hosts and sizes that other hosts send are checked by it or its parts.

Tests: "host record with names or a size that no fleet has" and "names or size of a fleet that cannot be those of hosts" failed on the code before.

--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -51,7 +51,7 @@
 {
     FleetDirectory::Entry entry;
     entry.host = { HostId(message.id()), ZoneId(message.zone()), {}, message.processor_percent() / hundredths };
-    if (entry.host.id.empty() || !parseEndpoint(message.peers(), entry.host.peerEndpoint))
+    if (!isValidName(message.id()) || !isValidName(message.zone()) || !parseEndpoint(message.peers(), entry.host.peerEndpoint))
         return std::nullopt;
     entry.lastAliveAt = now - std::chrono::milliseconds(message.age_ms());
     if (message.has_uptime_ms())
@@ -68,7 +68,7 @@
 
 std::optional<FleetSize> decodeFleetSize(const protocol::GatewayHost& message, MonotonicTime now)
 {
-    if (!message.has_fleet_size())
+    if (!message.has_fleet_size() || !isValidFleetSize(message.fleet_size()))
         return std::nullopt;
     return FleetSize { message.fleet_size(), now - std::chrono::milliseconds(message.fleet_size_age_ms()) };
 }
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -29,6 +29,11 @@
 
 } // namespace internal
 
+bool isValid(const HostRecord& record)
+{
+    return isValidName(record.host.id.value()) && isValidName(record.host.zone.value()) && isValidFleetSize(record.fleetSize);
+}
+
 void FleetDirectory::recordAlive(const LiveHost& host, MonotonicTime aliveAt, MonotonicTime startedAt, bool leaving)
 {
     if (host.id == m_self.id)
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
@@ -20,6 +20,9 @@
     std::size_t fleetSize = 0;
 };
 
+/// \brief Whether a record can be that of a host of the fleet.
+bool isValid(const HostRecord&);
+
 /// \brief The known hosts of the fleet, and when each was last seen alive by this host or another.
 class FleetDirectory {
 public:
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -226,6 +226,10 @@
             const auto decoded = record.value ? parts.decodeHost(HostId(record.key), *record.value) : std::nullopt;
             if (!decoded)
                 continue;
+            if (!isValid(*decoded)) {
+                log(Event("host-record-malformed").with("offset", static_cast<long long>(number(record.offset))).with("reason", "value"));
+                continue;
+            }
             if (record.offset >= newest) {
                 newest = record.offset;
                 size.hosts = decoded->fleetSize;
--- a/packages/policy/lacewingsail/src/Policy/RegistrationCheck.cpp
+++ b/packages/policy/lacewingsail/src/Policy/RegistrationCheck.cpp
@@ -20,6 +20,9 @@
     // One heartbeat a second for 136 years.
     constexpr std::uint64_t maxHeartbeat = 4'294'967'295;
 
+    // More than ten times the hosts that docs/CAPACITY.md plans for.
+    constexpr std::size_t maxFleetSize = 5000;
+
     bool isVisible(char character) { return character > ' ' && character < '\x7f'; }
 
     bool isAddress(const std::string& text)
@@ -57,4 +60,6 @@
     return std::nullopt;
 }
 
+bool isValidFleetSize(std::size_t hosts) { return hosts <= internal::maxFleetSize; }
+
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/RegistrationCheck.h
+++ b/packages/policy/lacewingsail/src/Policy/RegistrationCheck.h
@@ -2,6 +2,7 @@
 
 #include <lacewingsail/World.h>
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 
@@ -14,4 +15,7 @@
 /// \returns the name of the field whose value a backend server cannot have, or nothing if the registration can be used.
 std::optional<std::string_view> invalidField(const RegisteredServer&);
 
+/// \brief Whether a fleet can have this many hosts.
+bool isValidFleetSize(std::size_t hosts);
+
 } // namespace lacewingsail
--- a/tests/OddRegistrationTest.cpp
+++ b/tests/OddRegistrationTest.cpp
@@ -234,3 +234,32 @@
     CHECK_FALSE(isTakenOver(6, 0, 0, 18446744073709551615U));
     CHECK(isTakenOver(6, 1000, 1700000000000U, 1));
 }
+
+TEST_CASE("isValid, host record with names or a size that no fleet has, is not valid")
+{
+    const auto record = [](const std::string& id, const std::string& zone, std::size_t size) { return HostRecord { { HostId(id), ZoneId(zone), { "10.0.0.1", 1 } }, size }; };
+    CHECK(isValid(record("host-1", "a", 430)));
+    CHECK(isValid(record("host-1", "a", 0)));
+    CHECK_FALSE(isValid(record("host-1", "a", 4'000'000'000)));
+    for (const std::string& name : oddNames) {
+        CHECK_FALSE(isValid(record(name, "a", 1)));
+        CHECK_FALSE(isValid(record("host-1", name, 1)));
+    }
+}
+
+TEST_CASE_FIXTURE(OddRegistrationFixture, "handleRequest, names or size of a fleet that cannot be those of hosts, are not taken over")
+{
+    protocol::ExchangeRequest request;
+    request.mutable_sender()->set_id("host-1");
+    request.mutable_sender()->set_zone("a");
+    request.mutable_sender()->set_peers("10.0.0.8:1");
+    request.mutable_sender()->set_fleet_size(4'000'000'000);
+    protocol::GatewayHost& listed = *request.add_hosts();
+    listed.set_id("host\n2");
+    listed.set_zone("a");
+    listed.set_peers("10.0.0.7:1");
+    protocol::ExchangeReply reply;
+    exchange.handleRequest(request, reply);
+    CHECK(directory.entries().size() == 1);
+    CHECK(directory.fleetSize(clock.now()) == 2);
+}
