--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -45,7 +45,7 @@
 
 class Store:
     """The platform's store. `mode` is up, busy, reset or silent; `delay_s` delays responses, `body_delay_s` their bodies;
-    `lose_writes` drops the responses to writes that took effect. `overlapping_calls` lists the calls during which another
+    `lose_writes` drops the responses to writes that took effect; reads of `refused_topics` get 503. `overlapping_calls` lists the calls during which another
     one arrived on the same connection: a client must wait for the response first."""
 
     def __init__(self, port):
@@ -56,6 +56,7 @@
         self.delay_s = 0
         self.body_delay_s = 0
         self.lose_writes = False
+        self.refused_topics = set()
         self.calls = []
         self.overlapping_calls = []
         self.changed = threading.Condition()
@@ -63,8 +64,9 @@
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
     def put(self, topic, key, value):
-        """Appends a keyed record; a value of None deletes the key. Returns its offset."""
-        content = bytes([len(key)]) + key.encode() + (b"" if value is None else value)
+        """Appends a keyed record; a value of None deletes the key. A key may be given as bytes. Returns its offset."""
+        encoded = key if isinstance(key, bytes) else key.encode()
+        content = bytes([len(encoded)]) + encoded + (b"" if value is None else value)
         return self.append(topic, [content])
 
     def append(self, topic, contents):
@@ -84,7 +86,7 @@
         keys = {}
         for offset, content in enumerate(self.topics.get(topic, [])):
             length = content[0]
-            keys[content[1:1 + length].decode()] = (offset, content[1 + length:])
+            keys[content[1:1 + length].decode(errors="surrogateescape")] = (offset, content[1 + length:])
         return {key: entry for key, entry in keys.items() if entry[1]}
 
     def read(self, topic, start, wait_s):
@@ -138,10 +140,13 @@
 
             def do_GET(self):
                 url = urlsplit(self.path)
-                query = {key: values[0] for key, values in parse_qs(url.query).items()}
+                query = {key: values[0] for key, values in parse_qs(url.query, errors="surrogateescape").items()}
                 store.calls.append(url.path)
                 if self.apply_fault():
                     return
+                if query["topic"] in store.refused_topics:
+                    self.reply(503, b"{}")
+                    return
                 if url.path == "/log-read":
                     body = store.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000)
                     if body is None:
@@ -152,7 +157,8 @@
                 items = [{"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
                          for key, (offset, value) in sorted(store.newest(query["topic"]).items()) if key > query.get("after", "")]
                 end = len(store.topics.get(query["topic"], []))
-                self.reply(200, json.dumps({"items": items[:2], "more": len(items) > 2, "end": end}).encode())
+                page = json.dumps({"items": items[:2], "more": len(items) > 2, "end": end}, ensure_ascii=False)
+                self.reply(200, page.encode(errors="surrogateescape"))
 
             def do_POST(self):
                 url = urlsplit(self.path)
