--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -1,5 +1,7 @@
 #include "ExchangeCodec.h"
 
+#include <lacewingsail/Observe.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -49,7 +51,7 @@
 {
     FleetDirectory::Entry entry;
     entry.host = { HostId(message.id()), ZoneId(message.zone()), {}, message.processor_percent() / hundredths };
-    if (entry.host.id.empty() || !parseEndpoint(message.peers(), entry.host.peerEndpoint))
+    if (!isValidName(message.id()) || !isValidName(message.zone()) || !parseEndpoint(message.peers(), entry.host.peerEndpoint))
         return std::nullopt;
     entry.lastAliveAt = now - std::chrono::milliseconds(message.age_ms());
     if (message.has_uptime_ms())
@@ -66,7 +68,7 @@
 
 std::optional<FleetSize> decodeFleetSize(const protocol::GatewayHost& message, MonotonicTime now)
 {
-    if (!message.has_fleet_size())
+    if (!message.has_fleet_size() || !isValidFleetSize(message.fleet_size()))
         return std::nullopt;
     return FleetSize { message.fleet_size(), now - std::chrono::milliseconds(message.fleet_size_age_ms()) };
 }
@@ -124,6 +126,8 @@
 
 std::optional<ServerChange> decode(const protocol::ServerNews& message)
 {
+    if (!isValidName(message.id()))
+        return std::nullopt;
     ServerChange change { BackendServerId(message.id()), LogOffset { message.offset() }, std::nullopt, std::nullopt };
     if (message.service().empty())
         return change;
@@ -138,6 +142,10 @@
     server.warmupLeft = std::chrono::milliseconds(message.warmup_left_ms());
     server.startedAt = std::chrono::milliseconds(message.born_ms());
     server.heartbeat = message.heartbeat();
+    if (const auto field = invalidField(server)) {
+        log(Event("server-record-malformed").with("server", server.id).with("reason", *field));
+        return change;
+    }
     change.server = std::move(server);
     if (message.lapsed())
         change.expiredFor = std::chrono::milliseconds(message.lapsed_for_ms());
