Callers that only stopped sending get their responses during a planned stop

What callers would see: a caller that half-closed its connection while a server ran its booking got no response if the host stopped meanwhile. The host forgot a connection as soon as nothing more could be read from it, so that it neither waited for its requests nor ended them. The new case of tests/planned_stop_test.py got no response on the code before.

A connection is now kept until its reader has ended and its last request has its response. From the same review of the stop: a request that arrives while a response is being written during a stop is not passed on either, as that write has no bound; the process does not exit in the turn of the event loop that ends the requests, as their responses are yet to be written; a reader that waits for space in the queue is woken when a write fails; servers get at least five sixths of the grace period.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -71,7 +71,8 @@
         m_services.context, [self = shared_from_this()]() -> net::awaitable<void> { co_await self->read(); }, [self = shared_from_this()](const std::exception_ptr& failure) {
         if (failure)
             log(Event("caller-connection-failed"));
-        self->unregister(); });
+        self->m_readerEnded = true;
+        self->unregisterIfDone(); });
 }
 
 void CallerConnection::startTimer(Duration timeout)
@@ -189,8 +190,7 @@
 {
     if (m_closing)
         return true;
-    const bool isBeingWritten = m_writing && m_pending.size() == 1;
-    if (!m_connections.plannedStop || m_pending.empty() || isBeingWritten)
+    if (!m_connections.plannedStop || m_pending.empty())
         return false;
     m_pending.back()->closesConnection = true;
     m_closing = true;
@@ -276,36 +276,33 @@
     if (!headerOnly)
         response->prepare_payload();
     m_writing = true;
-    const bool closesConnection = pending->closesConnection;
     if (headerOnly) {
         auto serializer = std::make_shared<http::response_serializer<http::string_body>>(*response);
-        http::async_write_header(m_socket, *serializer, [self = shared_from_this(), response, serializer, closesConnection](const boost::system::error_code& error, std::size_t) { self->onResponseWritten(closesConnection, error); });
+        http::async_write_header(m_socket, *serializer, [self = shared_from_this(), response, serializer](const boost::system::error_code& error, std::size_t) { self->onResponseWritten(error); });
         return;
     }
-    http::async_write(m_socket, *response, [self = shared_from_this(), response, closesConnection](const boost::system::error_code& error, std::size_t) { self->onResponseWritten(closesConnection, error == http::error::end_of_stream ? boost::system::error_code {} : error); });
+    http::async_write(m_socket, *response, [self = shared_from_this(), response](const boost::system::error_code& error, std::size_t) { self->onResponseWritten(error == http::error::end_of_stream ? boost::system::error_code {} : error); });
 }
 
-void CallerConnection::onResponseWritten(bool closesConnection, const boost::system::error_code& error)
+void CallerConnection::onResponseWritten(const boost::system::error_code& error)
 {
     m_writing = false;
-    if (!m_pending.empty())
-        m_pending.pop_front();
+    const bool closesConnection = m_pending.front()->closesConnection;
+    m_pending.pop_front();
     if (error) {
         onCallerDisconnected();
         m_socket.close();
-        return;
-    }
-    if (closesConnection) {
+    } else if (closesConnection) {
         // Requests pipelined after a closing response are dropped as if they had not been received.
         onCallerDisconnected();
         m_pending.clear();
         boost::system::error_code ignored;
         m_socket.shutdown(net::socket_base::shutdown_send, ignored);
         startTimer(lingerTime);
-        return;
     }
     m_queueSpaceTimer.cancel();
     writeNextResponse();
+    unregisterIfDone();
 }
 
 void CallerConnection::onCallerDisconnected()
@@ -347,8 +344,11 @@
     }
 }
 
-void CallerConnection::unregister()
+// A caller that only sends no more still waits for its responses, and requests that are not repeatable go on without a caller.
+void CallerConnection::unregisterIfDone()
 {
+    if (!m_readerEnded || !m_pending.empty())
+        return;
     m_timer.cancel();
     m_connections.open.erase(shared_from_this());
 }
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -54,9 +54,9 @@
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode);
     void writeNextResponse();
-    void onResponseWritten(bool closesConnection, const boost::system::error_code&);
+    void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
-    void unregister();
+    void unregisterIfDone();
     void startTimer(Duration);
     CallerLimits limits() const;
     Duration idleTimeout() const;
@@ -74,6 +74,7 @@
     /// No further requests are accepted.
     bool m_closing = false;
     bool m_timedOut = false;
+    bool m_readerEnded = false;
 };
 
 } // namespace lacewingsail::internal
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <csignal>
 #include <unistd.h>
+#include <utility>
 
 namespace lacewingsail {
 
@@ -63,6 +64,8 @@
     std::unique_ptr<GatewayCalls> calls;
     std::unique_ptr<HttpServer> readinessServer;
     std::unique_ptr<HttpServer> operatorServer;
+    /// Whether the final responses of a planned stop have been determined.
+    bool requestsEnded = false;
     /// Size of the fleet in this host's record in the store; zero if it has none.
     std::size_t registeredFleetSize = 0;
 
@@ -277,14 +280,16 @@
     const MonotonicTime now = clock.now();
     const PlannedStop& stop = *connections.plannedStop;
     const auto open = connections.open;
+    // The responses are written by the event loop, so that the process does not exit in the same turn.
+    const bool endsRequests = now >= finalResponsesAt(stop) && !std::exchange(requestsEnded, true);
     for (const auto& connection : open) {
-        if (now >= finalResponsesAt(stop))
+        if (endsRequests)
             connection->endRequests();
         if (now >= balancerReactedAt(stop))
             connection->closeIfIdle();
     }
     const bool empty = now >= balancerReactedAt(stop) && connections.open.empty();
-    if (empty || now >= exitsAt(stop)) {
+    if (empty || (now >= exitsAt(stop) && !endsRequests)) {
         for (const auto& connection : connections.open)
             connection->logUnanswered();
         log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
--- a/packages/policy/lacewingsail/src/Policy/PlannedStop.cpp
+++ b/packages/policy/lacewingsail/src/Policy/PlannedStop.cpp
@@ -13,6 +13,8 @@
     constexpr std::chrono::milliseconds processExitMargin { 350 };
     // Part of the grace period in which the final responses, and those that waited behind them, are written.
     constexpr std::chrono::milliseconds finalResponsePeriod { 400 };
+    // Part of the grace period that servers get at least for the requests that they work on.
+    constexpr double minServingShare = 5.0 / 6;
 
 } // namespace internal
 
@@ -20,7 +22,8 @@
 
 MonotonicTime finalResponsesAt(const PlannedStop& stop)
 {
-    return std::max(stop.startedAt, exitsAt(stop) - internal::finalResponsePeriod);
+    const auto minServingTime = std::chrono::duration_cast<Duration>(stop.grace * internal::minServingShare);
+    return std::min(exitsAt(stop), std::max(stop.startedAt + minServingTime, exitsAt(stop) - internal::finalResponsePeriod));
 }
 
 MonotonicTime exitsAt(const PlannedStop& stop)
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -185,7 +185,7 @@
     """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
     unframed, unsigned, shed, one of ENDLESS, or a function that responds by itself: it gets the handler of the connection and
     the body of a complete response, and says by `handler.record_execution()` that it runs the request. Requests for
-    `hanging_paths` get no response for a long time otherwise. `executions` lists (id, account, path, Authorization) of every
+    `hanging_paths` get no response for a long time otherwise, `slow_paths` gives the seconds that others take. `executions` lists (id, account, path, Authorization) of every
     request that it ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver
     ended."""
 
@@ -194,6 +194,7 @@
         self.behaviour = "good"
         self.state = "ready"
         self.hanging_paths = set()
+        self.slow_paths = {}
         self.executions = []
         self.heartbeats = 0
         self.endless = self.abandoned = 0
@@ -270,6 +271,7 @@
                 self.record_execution()
                 if behaviour == "hang" or self.path in backend.hanging_paths:
                     time.sleep(HANG_S)
+                time.sleep(backend.slow_paths.get(self.path, 0))
                 if behaviour == "slow":
                     time.sleep(0.6)
                 if behaviour == "slower":
--- a/tests/PlannedStopScheduleTest.cpp
+++ b/tests/PlannedStopScheduleTest.cpp
@@ -33,6 +33,7 @@
     for (const std::chrono::milliseconds grace : { 0ms, 100ms, 500ms, 1000ms, 6000ms, 60000ms }) {
         stop.grace = grace;
         CHECK(finalResponsesAt(stop) >= stop.startedAt);
+        CHECK(finalResponsesAt(stop) >= std::min(exitsAt(stop), stop.startedAt + grace * 5 / 6));
         CHECK(finalResponsesAt(stop) <= exitsAt(stop));
         CHECK(exitsAt(stop) <= stop.startedAt + grace);
     }
--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -2,6 +2,7 @@
 """Planned stops of gateway hosts while callers keep their connections and pipeline requests."""
 
 import os
+import socket
 import sys
 import time
 
@@ -38,6 +39,7 @@
             self.host.process.kill()
         for backend in self.fixture.backends:
             backend.hanging_paths = set()
+            backend.slow_paths = {}
 
 
 def executed(fixture, request_id):
@@ -105,8 +107,22 @@
         check(host.process.wait() == 0, "exit code")
 
 
+def booking_of_a_half_closed_connection_is_answered_during_a_stop(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as caller:
+        for backend in fixture.backends:
+            backend.slow_paths = {"/order/slow": BALANCER_REACTION_S + 1}
+        request_id = caller.send("POST", "/order/slow", body=b"clock", deadline_ms=LONG_MS)
+        caller.socket.shutdown(socket.SHUT_WR)
+        await_execution(fixture, request_id)
+        host.process.terminate()
+        response = caller.receive()
+        check(response and response.status == 200, f"status {response and response.status}")
+        check(host.process.wait() == 0, "exit code")
+
+
 CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
-         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it]
+         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it,
+         booking_of_a_half_closed_connection_is_answered_during_a_stop]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
