Tests of a store that comes back from a copy

The stand-in of the store takes copies and comes back from one: the records since are gone, their offsets are given out again, every response names the era, and reads of records that do not exist are refused.

--- a/scripts/fleet/gateway_fixture.py
+++ b/scripts/fleet/gateway_fixture.py
@@ -115,10 +115,10 @@
     check(not ended, f"hosts that ended: {[host.name for host in ended]}")
 
 
-def run_cases(cases):
+def run_cases(cases, make_fixture=Fixture):
     """Runs the cases named on the command line, or all, on one fixture. Returns the exit code."""
     failed = 0
-    fixture = Fixture()
+    fixture = make_fixture()
     try:
         for case in cases:
             if len(sys.argv) > 1 and case.__name__ not in sys.argv[1:]:
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -46,7 +46,8 @@
 class Store:
     """The platform's store. `mode` is up, busy, reset or silent; `delay_s` delays responses, `body_delay_s` their bodies;
     `lose_writes` drops the responses to writes that took effect. `overlapping_calls` lists the calls during which another
-    one arrived on the same connection: a client must wait for the response first."""
+    one arrived on the same connection: a client must wait for the response first. `era` counts the restorations from a copy
+    and is in every response; `gone` counts the reads that were refused since their records did not exist."""
 
     def __init__(self, port):
         self.address = address(port)
@@ -58,6 +59,8 @@
         self.lose_writes = False
         self.calls = []
         self.overlapping_calls = []
+        self.era = 1
+        self.gone = 0
         self.changed = threading.Condition()
         self.server = Listener(("127.0.0.1", port), self._handler())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -80,6 +83,19 @@
         with self.changed:
             self.first[topic] = len(self.topics.get(topic, []))
 
+    def copy(self):
+        """Returns a copy of all records, to be given to `restore`."""
+        with self.changed:
+            return {topic: list(records) for topic, records in self.topics.items()}, dict(self.first)
+
+    def restore(self, copy, then=lambda: None):
+        """Loses all records since the copy; their offsets are given out again. Writes of `then` come before any other."""
+        with self.changed:
+            self.topics, self.first = {topic: list(records) for topic, records in copy[0].items()}, dict(copy[1])
+            self.era += 1
+            then()
+            self.changed.notify_all()
+
     def newest(self, topic):
         keys = {}
         for offset, content in enumerate(self.topics.get(topic, [])):
@@ -88,15 +104,24 @@
         return {key: entry for key, entry in keys.items() if entry[1]}
 
     def read(self, topic, start, wait_s):
+        """Returns the era and the body of the response, or no body if the records do not exist."""
         deadline = time.monotonic() + wait_s
         with self.changed:
-            while len(self.topics.get(topic, [])) <= start and time.monotonic() < deadline:
+            while len(self.topics.get(topic, [])) == start and time.monotonic() < deadline:
                 self.changed.wait(max(0.001, deadline - time.monotonic()))
-            if start < self.first.get(topic, 0):
-                return None
             records = self.topics.get(topic, [])
+            if not self.first.get(topic, 0) <= start <= len(records):
+                self.gone += 1
+                return self.era, None
             body = struct.pack(">QQ", len(records), self.first.get(topic, 0))
-            return body + b"".join(struct.pack(">I", len(each)) + each for each in records[start:])
+            return self.era, body + b"".join(struct.pack(">I", len(each)) + each for each in records[start:])
+
+    def read_newest(self, topic, after):
+        """Returns the era and one page of the newest records."""
+        with self.changed:
+            items = [{"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
+                     for key, (offset, value) in sorted(self.newest(topic).items()) if key > after]
+            return self.era, {"items": items[:2], "more": len(items) > 2, "end": len(self.topics.get(topic, []))}
 
     def _handler(store):  # pylint: disable=no-self-argument
         class Handler(BaseHTTPRequestHandler):
@@ -105,8 +130,9 @@
             def log_message(self, *_):
                 """Silent."""
 
-            def reply(self, status, body, content_type="application/json"):
+            def reply(self, status, body, content_type="application/json", era=None):
                 self.send_response(status)
+                self.send_header("Store-Era", str(store.era if era is None else era))
                 self.send_header("Content-Type", content_type)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
@@ -143,16 +169,14 @@
                 if self.apply_fault():
                     return
                 if url.path == "/log-read":
-                    body = store.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000)
+                    era, body = store.read(query["topic"], int(query["from"]), int(query.get("waitMs", 0)) / 1000)
                     if body is None:
-                        self.reply(410, json.dumps({"first": store.first[query["topic"]]}).encode())
+                        self.reply(410, json.dumps({"first": store.first.get(query["topic"], 0)}).encode(), era=era)
                     else:
-                        self.reply(200, body, "application/octet-stream")
+                        self.reply(200, body, "application/octet-stream", era)
                     return
-                items = [{"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
-                         for key, (offset, value) in sorted(store.newest(query["topic"]).items()) if key > query.get("after", "")]
-                end = len(store.topics.get(query["topic"], []))
-                self.reply(200, json.dumps({"items": items[:2], "more": len(items) > 2, "end": end}).encode())
+                era, page = store.read_newest(query["topic"], query.get("after", ""))
+                self.reply(200, json.dumps(page).encode(), era=era)
 
             def do_POST(self):
                 url = urlsplit(self.path)
