--- a/packages/discovery/lacewingsail/src/Discovery/ForwardDeclarations.h
+++ b/packages/discovery/lacewingsail/src/Discovery/ForwardDeclarations.h
@@ -8,6 +8,7 @@
 class StoreFollower;
 
 struct KeyedRecord;
+struct StoreAppendResult;
 struct StoreReadResult;
 
 } // namespace lacewingsail
--- a/packages/discovery/lacewingsail/src/Discovery/RecordStore.h
+++ b/packages/discovery/lacewingsail/src/Discovery/RecordStore.h
@@ -36,12 +36,22 @@
     std::vector<KeyedRecord> records;
     /// Offset at which the next read starts.
     LogOffset nextOffset {};
+    /// Era of the store when it answered, refusals included; 0 if it did not answer.
+    StoreEra era {};
+};
+
+/// \brief Result of appending a record.
+struct StoreAppendResult {
+    ResultCode code = ResultCode::Ok;
+    /// As in StoreReadResult.
+    StoreEra era {};
 };
 
 /// \brief The platform's store. Callbacks run on the event loop's thread, never within the call.
 class RecordStore {
 public:
     using ReadCallback = std::function<void(StoreReadResult)>;
+    using AppendCallback = std::function<void(StoreAppendResult)>;
 
     virtual ~RecordStore() = default;
 
@@ -49,11 +59,11 @@
     virtual void read(RecordStream, LogOffset from, std::chrono::milliseconds wait, ReadCallback) = 0;
 
     /// \brief Reads the latest record of each key. The next offset is the end of the stream before the read started, so
-    /// that no record is missed.
+    /// that no record is missed. All records are of one era.
     virtual void readLatest(RecordStream, ReadCallback) = 0;
 
     /// \brief Appends one record. If the answer is lost, the record may have been appended all the same.
-    virtual void append(RecordStream, std::string key, std::string value, std::function<void(ResultCode)>) = 0;
+    virtual void append(RecordStream, std::string key, std::string value, AppendCallback) = 0;
 };
 
 } // namespace lacewingsail
--- a/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
@@ -11,11 +11,6 @@
     // A host that has received no updates for this long needs all servers again.
     constexpr std::chrono::seconds tombstoneRetention { 60 };
 
-    bool isOlder(const RegisteredServer& server, std::chrono::milliseconds startedAt, std::uint64_t heartbeat)
-    {
-        return server.startedAt < startedAt || (server.startedAt == startedAt && server.heartbeat < heartbeat);
-    }
-
     // Ignores the fields that change with every heartbeat.
     bool differs(const RegisteredServer& left, const RegisteredServer& right)
     {
@@ -25,6 +20,12 @@
         return same != right;
     }
 
+    // Hosts that follow a newer era have read its records, but what an older one said besides is in no record any more.
+    bool mayLack(StorePosition changePosition, StorePosition from)
+    {
+        return changePosition >= from || changePosition.era < from.era;
+    }
+
 } // namespace internal
 
 bool ServerRegistry::upsert(const ServerChange& change, MonotonicTime now)
@@ -33,72 +34,102 @@
     const MonotonicTime warmupEndsAt = now + change.server->warmupLeft;
     const auto found = m_entries.find(change.id);
     if (found == m_entries.end()) {
-        m_entries.emplace(change.id, Entry { *change.server, change.offset, warmupEndsAt, std::nullopt });
+        m_entries.emplace(change.id, Entry { *change.server, change.position, warmupEndsAt, std::nullopt });
         return true;
     }
     Entry& entry = found->second;
-    const bool changed = internal::differs(entry.registration, *change.server) || entry.expiredAt;
-    if (changed)
-        entry.changeOffset = change.offset;
+    const bool renewed = entry.expiredAt && !change.expiredFor && change.position >= entry.changePosition;
+    const bool changed = internal::differs(entry.registration, *change.server) || renewed;
     entry.registration = *change.server;
     entry.warmupEndsAt = warmupEndsAt;
-    entry.expiredAt.reset();
+    if (renewed)
+        entry.expiredAt.reset();
+    // An expired entry keeps the position of its expiry. A change of an older era keeps that era, so that other hosts hear of it.
+    const StorePosition previous = entry.changePosition;
+    if (!entry.expiredAt && (changed || previous.era < change.position.era))
+        entry.changePosition = previous.era == change.position.era ? std::max(previous, change.position) : change.position;
     return changed;
 }
 
-bool ServerRegistry::remove(const BackendServerId& id, LogOffset offset, MonotonicTime now)
+// Removals that have been pruned may still come from other hosts and are not kept again.
+bool ServerRegistry::recordRemoval(const ServerChange& change, MonotonicTime now)
 {
-    Tombstone& tombstone = m_tombstones[id];
-    tombstone.offset = offset;
-    tombstone.removedAt = now;
-    const auto found = m_entries.find(id);
-    if (found == m_entries.end())
+    const auto found = m_tombstones.find(change.id);
+    if (found == m_tombstones.end()) {
+        if (change.position >= m_prunedBefore)
+            m_tombstones.emplace(change.id, Tombstone { change.position, now, change.lastStamp });
         return false;
-    tombstone.startedAt = found->second.registration.startedAt;
-    tombstone.heartbeat = found->second.registration.heartbeat;
+    }
+    Tombstone& tombstone = found->second;
+    tombstone.lastStamp = std::max(tombstone.lastStamp, change.lastStamp);
+    if (change.position > tombstone.position) {
+        tombstone.position = change.position;
+        tombstone.removedAt = now;
+    }
+    return false;
+}
+
+bool ServerRegistry::remove(const ServerChange& change, MonotonicTime now)
+{
+    const auto found = m_entries.find(change.id);
+    m_tombstones[change.id] = { change.position, now, std::max(change.lastStamp, found->second.registration.stamp()) };
     m_entries.erase(found);
     return true;
 }
 
-bool ServerRegistry::markExpired(const BackendServerId& id, LogOffset offset, Duration expiredFor, MonotonicTime now)
+bool ServerRegistry::markExpired(const BackendServerId& id, StorePosition position, Duration expiredFor, MonotonicTime now)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.expiredAt)
         return false;
-    found->second.changeOffset = offset;
+    found->second.changePosition = position;
     found->second.expiredAt = now - expiredFor;
     return true;
 }
 
-// Heartbeats may reach the store late and out of order.
 bool ServerRegistry::isOutdated(const ServerChange& change) const
 {
-    const auto entry = m_entries.find(change.id);
-    if (entry != m_entries.end())
-        return internal::isOlder(*change.server, entry->second.registration.startedAt, entry->second.registration.heartbeat);
-    const auto tombstone = m_tombstones.find(change.id);
-    return tombstone != m_tombstones.end() && internal::isOlder(*change.server, tombstone->second.startedAt, tombstone->second.heartbeat);
+    const RegistrationStamp stamp = change.server->stamp();
+    if (const auto entry = m_entries.find(change.id); entry != m_entries.end()) {
+        const RegistrationStamp known = entry->second.registration.stamp();
+        return stamp < known || (stamp == known && change.position < entry->second.changePosition);
+    }
+    if (const auto found = m_tombstones.find(change.id); found != m_tombstones.end()) {
+        const Tombstone& tombstone = found->second;
+        if (change.position.era > tombstone.position.era)
+            return stamp <= tombstone.lastStamp;
+        return change.position <= tombstone.position || stamp < tombstone.lastStamp;
+    }
+    return change.position.era < m_end.era;
 }
 
-bool ServerRegistry::apply(const ServerChange& change, StoreHealth health, MonotonicTime now)
+bool ServerRegistry::applyRemoval(const ServerChange& change, StoreHealth health, MonotonicTime now)
 {
     const auto found = m_entries.find(change.id);
-    if (found != m_entries.end() && found->second.changeOffset > change.offset)
-        return false;
-    const auto tombstone = m_tombstones.find(change.id);
-    if (tombstone != m_tombstones.end() && tombstone->second.offset >= change.offset)
+    if (found == m_entries.end())
+        return recordRemoval(change, now);
+    const Entry& entry = found->second;
+    // The entry may come from a copy of the store that is older than the removal.
+    if (change.position.era < entry.changePosition.era)
+        return change.lastStamp >= entry.registration.stamp() && remove(change, now);
+    if (change.position < entry.changePosition)
         return false;
+    return health == StoreHealth::Healthy ? remove(change, now) : markExpired(change.id, change.position, {}, now);
+}
+
+bool ServerRegistry::apply(const ServerChange& change, StoreHealth health, MonotonicTime now)
+{
     if (!change.server)
-        return health == StoreHealth::Healthy ? remove(change.id, change.offset, now) : markExpired(change.id, change.offset, {}, now);
+        return applyRemoval(change, health, now);
     if (isOutdated(change))
         return false;
     bool changed = upsert(change, now);
     if (change.expiredFor)
-        changed = markExpired(change.id, change.offset, *change.expiredFor, now) || changed;
+        changed = markExpired(change.id, change.position, *change.expiredFor, now) || changed;
     return changed;
 }
 
-bool ServerRegistry::replace(std::span<const ServerChange> latest, LogOffset end, StoreHealth health, MonotonicTime now)
+bool ServerRegistry::replace(std::span<const ServerChange> latest, StorePosition end, StoreHealth health, MonotonicTime now)
 {
     std::set<BackendServerId> present;
     bool changed = false;
@@ -108,16 +139,16 @@
     }
     std::vector<BackendServerId> missing;
     for (const auto& [id, entry] : m_entries) {
-        if (!present.contains(id) && entry.changeOffset < end)
+        if (!present.contains(id) && entry.changePosition < end)
             missing.push_back(id);
     }
     for (const BackendServerId& id : missing)
         changed = apply({ id, end, std::nullopt, std::nullopt }, health, now) || changed;
-    advanceEndOffset(end);
+    advanceEnd(end);
     return changed;
 }
 
-void ServerRegistry::advanceEndOffset(LogOffset end) { m_endOffset = std::max(m_endOffset, end); }
+void ServerRegistry::advanceEnd(StorePosition end) { m_end = std::max(m_end, end); }
 
 bool ServerRegistry::removeExpired(MonotonicTime now)
 {
@@ -127,7 +158,7 @@
             overdue.push_back(id);
     }
     for (const BackendServerId& id : overdue)
-        remove(id, m_entries.at(id).changeOffset, now);
+        remove({ id, m_entries.at(id).changePosition, std::nullopt, std::nullopt }, now);
     pruneTombstones(now);
     return !overdue.empty();
 }
@@ -137,7 +168,7 @@
     std::erase_if(m_tombstones, [&](const auto& tombstone) {
         if (now - tombstone.second.removedAt < internal::tombstoneRetention)
             return false;
-        m_prunedBefore = std::max(m_prunedBefore, next(tombstone.second.offset));
+        m_prunedBefore = std::max(m_prunedBefore, next(tombstone.second.position));
         return true;
     });
 }
@@ -146,25 +177,23 @@
 {
     std::vector<ServerChange> changes;
     for (const auto& [id, entry] : m_entries) {
-        ServerChange change { id, entry.changeOffset, entry.registration, std::nullopt };
+        ServerChange change { id, entry.changePosition, entry.registration, std::nullopt };
         change.server->warmupLeft = std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(entry.warmupEndsAt - now));
         if (entry.expiredAt)
             change.expiredFor = now - *entry.expiredAt;
         changes.push_back(std::move(change));
     }
+    for (const auto& [id, tombstone] : m_tombstones)
+        changes.push_back({ id, tombstone.position, std::nullopt, std::nullopt, tombstone.lastStamp });
     return changes;
 }
 
-std::optional<std::vector<ServerChange>> ServerRegistry::changesSince(LogOffset from, MonotonicTime now) const
+std::optional<std::vector<ServerChange>> ServerRegistry::changesSince(StorePosition from, MonotonicTime now) const
 {
-    if (from < m_prunedBefore || from == LogOffset {})
+    if (from < m_prunedBefore || from.offset == LogOffset {})
         return std::nullopt;
     std::vector<ServerChange> changes = allServers(now);
-    std::erase_if(changes, [&](const ServerChange& change) { return change.offset < from; });
-    for (const auto& [id, tombstone] : m_tombstones) {
-        if (tombstone.offset >= from)
-            changes.push_back({ id, tombstone.offset, std::nullopt, std::nullopt });
-    }
+    std::erase_if(changes, [&](const ServerChange& change) { return !internal::mayLack(change.position, from); });
     return changes;
 }
 
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
@@ -23,8 +23,8 @@
     // Age of the known registrations from which the store counts as unavailable: four intervals of reads or exchanges without
     // an answer of the store or fresh state of another host.
     constexpr std::chrono::milliseconds outageThreshold { 2000 };
-    // Time after an outage in which a missing registration does not show that its server is gone: the platform restores the
-    // registrations of live servers about 2 s after the store's return.
+    // Time after an outage, or after a change of era, in which a missing registration does not show that its server is gone: the
+    // registrations of live servers are back about 2 s after the store's return.
     constexpr std::chrono::milliseconds recoveryPeriod { 2500 };
 
 } // namespace internal
@@ -72,6 +72,17 @@
     advanceAsOf(m_servers, serversAsOf);
 }
 
+void StoreFollower::recordEra(StoreEra era, std::string_view source)
+{
+    if (era <= m_era)
+        return;
+    if (m_servers.knownAsOf != MonotonicTime {}) {
+        log(Event("store-restored").with("era", static_cast<long long>(number(era))).with("previous_era", static_cast<long long>(number(m_era))).with("source", source));
+        m_outageEndedAt = m_clock.now();
+    }
+    m_era = era;
+}
+
 // The latest record is read, as the records since this host's last read may have expired.
 void StoreFollower::requireConfiguration()
 {
@@ -90,15 +101,15 @@
 {
     followed.readInFlight = true;
     const MonotonicTime requestedAt = m_clock.now();
-    if (!followed.initialized) {
+    if (followed.stream == RecordStream::Servers)
+        followed.next = std::max(followed.next, m_registry.end());
+    if (!followed.initialized || followed.next.era < m_era) {
         m_store.readLatest(followed.stream, [this, &followed, requestedAt](const StoreReadResult& result) { handleRead(followed, result, requestedAt, true); });
         return;
     }
     const bool isLongPoll = followed.stream == RecordStream::Configuration;
-    if (!isLongPoll)
-        followed.nextOffset = std::max(followed.nextOffset, m_registry.endOffset());
     const auto wait = isLongPoll ? internal::configurationWait : std::chrono::milliseconds(0);
-    m_store.read(followed.stream, followed.nextOffset, wait, [this, &followed, requestedAt](const StoreReadResult& result) { handleRead(followed, result, requestedAt, false); });
+    m_store.read(followed.stream, followed.next.offset, wait, [this, &followed, requestedAt](const StoreReadResult& result) { handleRead(followed, result, requestedAt, false); });
 }
 
 void StoreFollower::recordFailure(FollowedStream& followed, ResultCode code)
@@ -120,9 +131,27 @@
     followed.nextReadAt = followed.stream == RecordStream::Configuration ? m_clock.now() : asOf + internal::serversInterval;
 }
 
+// An answer may have been on its way while the store came back, and in a newer era the requested offset means another record.
+bool StoreFollower::belongsToAnotherEra(FollowedStream& followed, const StoreReadResult& result, bool isSnapshot)
+{
+    if (result.era < m_era) {
+        log(Event("store-response-outdated").with("stream", static_cast<long long>(followed.stream)).with("era", static_cast<long long>(number(result.era))).with("current_era", static_cast<long long>(number(m_era))));
+        recordFailure(followed, ResultCode::LogUnavailable);
+        return true;
+    }
+    if (isSnapshot || result.era == followed.next.era)
+        return false;
+    followed.nextReadAt = m_clock.now();
+    return true;
+}
+
 void StoreFollower::handleRead(FollowedStream& followed, const StoreReadResult& result, MonotonicTime requestedAt, bool isSnapshot)
 {
     followed.readInFlight = false;
+    recordEra(result.era, ActiveConfiguration::storeSource);
+    const bool answered = result.code == ResultCode::Ok || result.code == ResultCode::CheckpointMissing;
+    if (answered && belongsToAnotherEra(followed, result, isSnapshot))
+        return;
     if (result.code == ResultCode::CheckpointMissing) {
         log(Event("store-records-expired").with("stream", static_cast<long long>(followed.stream)));
         followed.initialized = false;
@@ -132,7 +161,7 @@
     if (result.code != ResultCode::Ok)
         return recordFailure(followed, result.code);
     const bool changed = followed.stream == RecordStream::Configuration ? applyConfiguration(result) : applyServers(result, isSnapshot);
-    followed.nextOffset = result.nextOffset;
+    followed.next = { result.era, result.nextOffset };
     // A long poll without records shows that there were none until its end.
     const bool timedOut = !isSnapshot && followed.stream == RecordStream::Configuration && result.records.empty();
     recordSuccess(followed, timedOut ? std::min(m_clock.now(), requestedAt + internal::configurationWait) : requestedAt);
@@ -150,9 +179,9 @@
     return changed;
 }
 
-ServerChange StoreFollower::decode(const KeyedRecord& record) const
+ServerChange StoreFollower::decode(const KeyedRecord& record, StoreEra era) const
 {
-    ServerChange change { BackendServerId(record.key), record.offset, std::nullopt, std::nullopt };
+    ServerChange change { BackendServerId(record.key), { era, record.offset }, std::nullopt, std::nullopt };
     if (record.value)
         change.server = m_decoder(change.id, *record.value);
     return change;
@@ -163,13 +192,13 @@
     const MonotonicTime now = m_clock.now();
     std::vector<ServerChange> changes;
     for (const KeyedRecord& record : result.records)
-        changes.push_back(decode(record));
+        changes.push_back(decode(record, result.era));
     if (isSnapshot)
-        return m_registry.replace(changes, result.nextOffset, storeHealth(), now);
+        return m_registry.replace(changes, { result.era, result.nextOffset }, storeHealth(), now);
     bool changed = false;
     for (const ServerChange& change : changes)
         changed = m_registry.apply(change, storeHealth(), now) || changed;
-    m_registry.advanceEndOffset(result.nextOffset);
+    m_registry.advanceEnd({ result.era, result.nextOffset });
     return changed;
 }
 
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace lacewingsail {
 
@@ -35,6 +36,14 @@
     /// epoch stands for none.
     void recordFreshness(MonotonicTime configurationAsOf, MonotonicTime serversAsOf);
 
+    /// \brief Records the era of the store that an answer of the store or another host has told. In a newer era than the one
+    /// known, each stream is read in full again, and a missing registration does not show for a while that its server is gone.
+    /// \param source the host that told it, or ActiveConfiguration::storeSource; logged.
+    void recordEra(StoreEra, std::string_view source);
+
+    /// \returns the newest era known.
+    StoreEra era() const { return m_era; }
+
     /// \brief Records that another host has a newer configuration that it did not send, so that the store is read for it at once.
     void requireConfiguration();
 
@@ -42,7 +51,7 @@
     MonotonicTime configurationAsOf() const { return m_configuration.knownAsOf; }
     MonotonicTime serversAsOf() const { return m_servers.knownAsOf; }
 
-    /// \returns Recovering during an outage of the store and for a while after it. A store that refuses only this host is
+    /// \returns Recovering during an outage of the store and for a while after it or after a change of era. A store that refuses only this host is
     /// not in an outage: other hosts read it and pass on its records, and the servers renew their registrations.
     StoreHealth storeHealth() const;
 
@@ -51,7 +60,7 @@
 private:
     struct FollowedStream {
         RecordStream stream;
-        LogOffset nextOffset {};
+        StorePosition next {};
         bool initialized = false;
         bool readInFlight = false;
         MonotonicTime nextReadAt {};
@@ -62,9 +71,10 @@
     bool isDue(const FollowedStream&, StoreReaderRole) const;
     void read(FollowedStream&);
     void handleRead(FollowedStream&, const StoreReadResult&, MonotonicTime requestedAt, bool isSnapshot);
+    bool belongsToAnotherEra(FollowedStream&, const StoreReadResult&, bool isSnapshot);
     bool applyConfiguration(const StoreReadResult&);
     bool applyServers(const StoreReadResult&, bool isSnapshot);
-    ServerChange decode(const KeyedRecord&) const;
+    ServerChange decode(const KeyedRecord&, StoreEra) const;
     void advanceAsOf(FollowedStream&, MonotonicTime asOf);
     void recordFailure(FollowedStream&, ResultCode);
     void recordSuccess(FollowedStream&, MonotonicTime asOf);
@@ -77,7 +87,8 @@
     std::function<void()> m_onChange;
     FollowedStream m_configuration { RecordStream::Configuration };
     FollowedStream m_servers { RecordStream::Servers };
-    /// When the last period without up-to-date registrations ended.
+    StoreEra m_era {};
+    /// When the last period without up-to-date registrations ended, or the last change of era was noticed.
     std::optional<MonotonicTime> m_outageEndedAt;
 };
 
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -104,10 +104,15 @@
     return { ZoneId(message.zone()), message.hosts(), now - std::chrono::milliseconds(message.age_ms()), decode(message.servers()) };
 }
 
-void encode(const ServerChange& change, protocol::ServerNews& message)
+void encode(const ServerChange& change, StoreEra era, protocol::ServerNews& message)
 {
     message.set_id(change.id.value());
-    message.set_offset(number(change.offset));
+    message.set_offset(number(change.position.offset));
+    if (change.position.era != era)
+        message.set_era(number(change.position.era));
+    const RegistrationStamp stamp = change.server ? change.server->stamp() : change.lastStamp;
+    message.set_born_ms(static_cast<std::uint64_t>(stamp.startedAt.count()));
+    message.set_heartbeat(stamp.heartbeat);
     if (!change.server)
         return;
     message.set_service(change.server->service.value());
@@ -116,17 +121,19 @@
     message.set_slots(static_cast<std::uint32_t>(change.server->slots.value));
     message.set_draining(change.server->draining);
     message.set_warmup_left_ms(milliseconds(change.server->warmupLeft));
-    message.set_born_ms(static_cast<std::uint64_t>(change.server->startedAt.count()));
-    message.set_heartbeat(change.server->heartbeat);
     message.set_lapsed(change.expiredFor.has_value());
     message.set_lapsed_for_ms(milliseconds(change.expiredFor.value_or(Duration::zero())));
 }
 
-std::optional<ServerChange> decode(const protocol::ServerNews& message)
+std::optional<ServerChange> decode(const protocol::ServerNews& message, StoreEra era)
 {
-    ServerChange change { BackendServerId(message.id()), LogOffset { message.offset() }, std::nullopt, std::nullopt };
-    if (message.service().empty())
+    const StorePosition position { message.has_era() ? StoreEra { message.era() } : era, LogOffset { message.offset() } };
+    ServerChange change { BackendServerId(message.id()), position, std::nullopt, std::nullopt };
+    const RegistrationStamp stamp { std::chrono::milliseconds(message.born_ms()), message.heartbeat() };
+    if (message.service().empty()) {
+        change.lastStamp = stamp;
         return change;
+    }
     RegisteredServer server;
     server.id = change.id;
     server.service = ServiceId(message.service());
@@ -136,8 +143,8 @@
     server.slots = SlotCount { static_cast<int>(message.slots()) };
     server.draining = message.draining();
     server.warmupLeft = std::chrono::milliseconds(message.warmup_left_ms());
-    server.startedAt = std::chrono::milliseconds(message.born_ms());
-    server.heartbeat = message.heartbeat();
+    server.startedAt = stamp.startedAt;
+    server.heartbeat = stamp.heartbeat;
     change.server = std::move(server);
     if (message.lapsed())
         change.expiredFor = std::chrono::milliseconds(message.lapsed_for_ms());
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
@@ -23,8 +23,9 @@
 void encode(const ZoneStats&, MonotonicTime now, protocol::UseOfZone&);
 ZoneStats decode(const protocol::UseOfZone&, MonotonicTime now);
 
-void encode(const ServerChange&, protocol::ServerNews&);
-std::optional<ServerChange> decode(const protocol::ServerNews&);
+/// \param era of the update that contains the message; a change states its own only if it differs.
+void encode(const ServerChange&, StoreEra era, protocol::ServerNews&);
+std::optional<ServerChange> decode(const protocol::ServerNews&, StoreEra era);
 
 void encode(const PlacementCell&, const PlacementDemand&, protocol::PlacementDemand&);
 PlacementCell decodeCell(const protocol::PlacementDemand&);
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -132,6 +132,13 @@
     update.set_compressed_configuration(m_compressedConfiguration);
 }
 
+// Hosts of earlier versions tell no eras; their offsets are taken as of this host's era.
+FleetExchange::PeerState FleetExchange::peerState(const protocol::FleetNews& update) const
+{
+    const StoreEra era = update.has_servers_end_era() ? StoreEra { update.servers_end_era() } : m_parts.registry.end().era;
+    return { ConfigurationVersion { update.configuration_version() }, { era, LogOffset { update.servers_end() } } };
+}
+
 void FleetExchange::fillUpdate(const PeerState& peer, protocol::FleetNews& update)
 {
     const MonotonicTime now = m_parts.clock.now();
@@ -142,12 +149,15 @@
         update.set_configuration_age_ms(*age);
     if (const auto age = internal::ageMilliseconds(now, m_parts.follower.serversAsOf()))
         update.set_servers_age_ms(*age);
-    update.set_servers_end(number(m_parts.registry.endOffset()));
+    const StorePosition end = m_parts.registry.end();
+    update.set_servers_end(number(end.offset));
+    update.set_servers_end_era(number(end.era));
     const auto changes = m_parts.registry.changesSince(peer.serversEnd, now);
     update.set_all_servers(!changes);
-    update.set_servers_from(number(peer.serversEnd));
+    update.set_servers_from(number(peer.serversEnd.offset));
+    update.set_servers_from_era(number(peer.serversEnd.era));
     for (const ServerChange& change : changes ? *changes : m_parts.registry.allServers(now))
-        internal::encode(change, *update.add_servers());
+        internal::encode(change, end.era, *update.add_servers());
 }
 
 template <typename Message>
@@ -195,21 +205,26 @@
 {
     const MonotonicTime now = m_parts.clock.now();
     bool changed = applyConfiguration(update, sender);
+    const StorePosition end = peerState(update).serversEnd;
+    m_parts.follower.recordEra(end.era, sender);
     std::vector<ServerChange> changes;
     for (const protocol::ServerNews& message : update.servers()) {
-        auto change = internal::decode(message);
+        auto change = internal::decode(message, end.era);
         if (!change)
             continue;
         // The store may have been unavailable to the sender only: then the expired registration shows that the server is gone.
-        if (change->expiredFor && m_parts.follower.storeHealth() == StoreHealth::Healthy)
+        if (change->expiredFor && m_parts.follower.storeHealth() == StoreHealth::Healthy) {
+            change->lastStamp = change->server->stamp();
             change->server.reset();
+        }
         changes.push_back(std::move(*change));
     }
-    const LogOffset end { update.servers_end() };
-    const LogOffset previousEnd = m_parts.registry.endOffset();
-    const bool complete = update.all_servers() || previousEnd >= LogOffset { update.servers_from() };
+    const StorePosition previousEnd = m_parts.registry.end();
+    const StorePosition from { update.has_servers_from_era() ? StoreEra { update.servers_from_era() } : end.era, LogOffset { update.servers_from() } };
+    // What is complete for an older era lacks the changes of this host's.
+    const bool complete = end.era >= previousEnd.era && (update.all_servers() || previousEnd >= from);
     // A full set from a sender that is behind this host does not show that the servers missing from it are gone.
-    if (update.all_servers() && end >= previousEnd && end != LogOffset {})
+    if (update.all_servers() && end >= previousEnd && end.offset != LogOffset {})
         changed = m_parts.registry.replace(changes, end, m_parts.follower.storeHealth(), now) || changed;
     else
         for (const ServerChange& change : changes)
@@ -220,7 +235,7 @@
     const MonotonicTime configurationAsOf = update.has_configuration_age_ms() && hasConfiguration ? now - std::chrono::milliseconds(update.configuration_age_ms()) : never;
     const MonotonicTime serversAsOf = update.has_servers_age_ms() && complete ? now - std::chrono::milliseconds(update.servers_age_ms()) : never;
     if (serversAsOf != never)
-        m_parts.registry.advanceEndOffset(end);
+        m_parts.registry.advanceEnd(end);
     m_parts.follower.recordFreshness(configurationAsOf, serversAsOf);
     if (changed)
         m_parts.onChange();
@@ -232,7 +247,7 @@
     const MonotonicTime now = m_parts.clock.now();
     // A host of unknown state is sent nothing that it may have; its reply tells what it lacks.
     const auto known = m_peerStates.find(target);
-    fillUpdate(known == m_peerStates.end() ? PeerState { m_parts.active.version(), m_parts.registry.endOffset() } : known->second, *request->mutable_news());
+    fillUpdate(known == m_peerStates.end() ? PeerState { m_parts.active.version(), m_parts.registry.end() } : known->second, *request->mutable_news());
     fillHosts(*request);
     if (!isRelay() || !includeHosts)
         request->clear_hosts();
@@ -264,11 +279,11 @@
 
 void FleetExchange::handleReply(const Endpoint& target, const protocol::ExchangeReply& reply)
 {
-    const ConfigurationVersion peerVersion { reply.news().configuration_version() };
-    m_peerStates[target] = { peerVersion, LogOffset { reply.news().servers_end() } };
+    const PeerState peer = peerState(reply.news());
+    m_peerStates[target] = peer;
     applyHosts(reply);
     applyUpdate(reply.news(), reply.sender().id());
-    if (peerVersion > m_parts.active.version())
+    if (peer.configuration > m_parts.active.version())
         m_parts.follower.requireConfiguration();
     for (const protocol::UseOfZone& zone : reply.zones())
         m_parts.stats.setZoneTotals(internal::decode(zone, m_parts.clock.now()), m_parts.clock.now());
@@ -284,7 +299,7 @@
         m_parts.stats.setHost(sender->host.id, internal::decode(request.use()), now);
     for (const protocol::UseOfZone& zone : request.zones())
         m_parts.stats.setZoneTotals(internal::decode(zone, now), now);
-    fillUpdate({ ConfigurationVersion { request.news().configuration_version() }, LogOffset { request.news().servers_end() } }, *reply.mutable_news());
+    fillUpdate(peerState(request.news()), *reply.mutable_news());
     fillHosts(reply);
     if (!request.wants_hosts())
         reply.clear_hosts();
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -65,13 +65,14 @@
     /// \brief The state that another host is known to have.
     struct PeerState {
         ConfigurationVersion configuration = ConfigurationVersion::None;
-        LogOffset serversEnd {};
+        StorePosition serversEnd {};
     };
 
     std::vector<Endpoint> callTargets() const;
     void call(const Endpoint&, bool includeHosts);
     void handleReply(const Endpoint&, const protocol::ExchangeReply&);
     void recordFailure(const Endpoint&);
+    PeerState peerState(const protocol::FleetNews&) const;
     void fillUpdate(const PeerState&, protocol::FleetNews&);
     void fillConfiguration(protocol::FleetNews&);
     bool applyConfiguration(const protocol::FleetNews&, const std::string& sender);
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -30,6 +30,9 @@
     constexpr std::chrono::milliseconds fleetSizeInterval { 250 };
     // Share by which the size of the fleet changes before its record in the store is renewed.
     constexpr double fleetSizeTolerance = 0.25;
+    // After a change of the store's era all registered hosts append their record again, spread over this time: 430 hosts make
+    // 86 writes a second.
+    constexpr std::chrono::milliseconds registrationSpread { 5000 };
 
 } // namespace internal
 
@@ -71,6 +74,10 @@
     MonotonicTime drainStartedAt {};
     /// Size of the fleet in this host's record in the store; zero if it has none.
     std::size_t registeredFleetSize = 0;
+    /// Era of the store in which that record was appended.
+    StoreEra registeredEra {};
+    /// When the record is appended again, as the store came back from a copy that may lack it.
+    std::optional<MonotonicTime> registrationRenewalAt;
 
     std::error_code listen();
     net::awaitable<void> accept();
@@ -81,6 +88,7 @@
     void discoverHosts();
     void learnFleetSize();
     void registerHost(std::size_t fleetSize);
+    void renewRegistration();
     void readHostRecords(bool recordAlive);
     void awaitSignal();
     void reload();
@@ -186,6 +194,7 @@
     const bool relay = exchange.isRelay();
     if (alone)
         readHostRecords(alone);
+    renewRegistration();
     const double size = static_cast<double>(directory.fleetSize(clock.now()));
     const bool resized = std::abs(size - static_cast<double>(registeredFleetSize)) > static_cast<double>(registeredFleetSize) * internal::fleetSizeTolerance;
     if ((registeredFleetSize == 0 && (alone || relay)) || (resized && exchange.isPrimaryRelay()))
@@ -202,13 +211,31 @@
     loop.after(internal::fleetSizeInterval, [this] { learnFleetSize(); });
 }
 
+// Hosts that are no longer to register leave their record to the store.
+void GatewayHost::Implementation::renewRegistration()
+{
+    if (registeredFleetSize == 0 || follower.era() <= registeredEra)
+        return;
+    const MonotonicTime now = clock.now();
+    if (!registrationRenewalAt)
+        registrationRenewalAt = now + std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(0, internal::registrationSpread.count())(random));
+    if (now < *registrationRenewalAt)
+        return;
+    registrationRenewalAt.reset();
+    registeredFleetSize = 0;
+}
+
 void GatewayHost::Implementation::registerHost(std::size_t fleetSize)
 {
     registeredFleetSize = fleetSize;
-    store->append(RecordStream::Hosts, settings.id.value(), parts.encodeHost({ directory.self(), fleetSize }), [this](ResultCode code) {
-        if (code == ResultCode::Ok)
+    registeredEra = follower.era();
+    store->append(RecordStream::Hosts, settings.id.value(), parts.encodeHost({ directory.self(), fleetSize }), [this](const StoreAppendResult& result) {
+        follower.recordEra(result.era, ActiveConfiguration::storeSource);
+        if (result.code == ResultCode::Ok) {
+            registeredEra = result.era;
             return;
-        log(Event("host-registration-failed").with("reason", code));
+        }
+        log(Event("host-registration-failed").with("reason", result.code));
         registeredFleetSize = 0;
     });
 }
@@ -216,6 +243,7 @@
 void GatewayHost::Implementation::readHostRecords(bool recordAlive)
 {
     store->readLatest(RecordStream::Hosts, [this, recordAlive](const StoreReadResult& result) {
+        follower.recordEra(result.era, ActiveConfiguration::storeSource);
         if (result.code != ResultCode::Ok) {
             log(Event("host-records-unavailable").with("reason", result.code));
             return;
--- a/packages/world/lacewingsail/src/World/Ids.h
+++ b/packages/world/lacewingsail/src/World/Ids.h
@@ -55,6 +55,25 @@
 /// \returns the offset as a plain number, for logs and messages.
 constexpr std::uint64_t number(LogOffset offset) { return static_cast<std::uint64_t>(offset); }
 
+/// \brief Number of times that the platform's store has come back from a copy. It then lacks the records since the copy, and
+/// gives out their offsets again. 0 for a store that does not count them.
+enum class StoreEra : std::uint64_t {};
+
+/// \returns the era as a plain number, for logs and messages.
+constexpr std::uint64_t number(StoreEra era) { return static_cast<std::uint64_t>(era); }
+
+/// \brief Position of a record in a stream of the platform's store. Everything of a newer era is newer than anything of an
+/// older one.
+struct StorePosition {
+    StoreEra era {};
+    LogOffset offset {};
+
+    auto operator<=>(const StorePosition&) const = default;
+};
+
+/// \returns the position after \p position.
+constexpr StorePosition next(StorePosition position) { return { position.era, next(position.offset) }; }
+
 } // namespace lacewingsail
 
 template <typename Tag>
--- a/tests/FleetExchangeTest.cpp
+++ b/tests/FleetExchangeTest.cpp
@@ -204,3 +204,88 @@
     host.exchange.handleRequest(request, reply);
     CHECK(host.active.version() == ConfigurationVersion { 1 });
 }
+
+namespace {
+
+ServerChange registered(const std::string& id, std::uint64_t era, std::uint64_t offset, std::uint64_t heartbeat, bool draining = false)
+{
+    RegisteredServer server;
+    server.id = BackendServerId(id);
+    server.service = ServiceId("desk");
+    server.endpoint = { "10.0.1.1", 80 };
+    server.draining = draining;
+    server.heartbeat = heartbeat;
+    return { server.id, { StoreEra { era }, LogOffset { offset } }, server, std::nullopt };
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "exchange, one host follows a newer era, both end with its servers and with what the older one said of them")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    ExchangingHost other(clock, "other");
+    for (ExchangingHost* each : { &host, &other }) {
+        for (const char* id : { "i-drains", "i-leaves" })
+            each->registry.apply(registered(id, 1, 4, 4), StoreHealth::Healthy, clock.now());
+        each->registry.advanceEnd({ StoreEra { 1 }, LogOffset { 5 } });
+        each->follower.recordEra(StoreEra { 1 }, ActiveConfiguration::storeSource);
+        each->follower.recordFreshness(clock.now(), clock.now());
+    }
+    // The host learns that servers leave; the other one only reads the copy, which says nothing of it.
+    host.registry.apply(registered("i-drains", 1, 90, 6, true), StoreHealth::Healthy, clock.now());
+    host.registry.apply({ BackendServerId("i-leaves"), { StoreEra { 1 }, LogOffset { 91 } }, std::nullopt, std::nullopt, { {}, 6 } }, StoreHealth::Healthy, clock.now());
+    host.registry.advanceEnd({ StoreEra { 1 }, LogOffset { 92 } });
+    other.follower.recordEra(StoreEra { 2 }, ActiveConfiguration::storeSource);
+    const std::vector<ServerChange> copy { registered("i-drains", 2, 4, 4), registered("i-leaves", 2, 5, 4), registered("i-new", 2, 6, 1) };
+    other.registry.replace(copy, { StoreEra { 2 }, LogOffset { 30 } }, StoreHealth::Recovering, clock.now());
+
+    const auto request = host.requestOfNextTick();
+    protocol::ExchangeReply reply;
+    other.exchange.handleRequest(request, reply);
+    host.answer(&reply);
+    protocol::ExchangeReply second;
+    other.exchange.handleRequest(host.requestOfNextTick(), second);
+    CHECK(host.follower.era() == StoreEra { 2 });
+    for (ExchangingHost* each : { &host, &other }) {
+        CHECK(each->registry.end() == StorePosition { StoreEra { 2 }, LogOffset { 30 } });
+        CHECK(each->registry.entries().size() == 2);
+        CHECK(each->registry.entries().contains(BackendServerId("i-new")));
+        CHECK_FALSE(each->registry.entries().contains(BackendServerId("i-leaves")));
+        REQUIRE(each->registry.entries().contains(BackendServerId("i-drains")));
+        CHECK(each->registry.entries().at(BackendServerId("i-drains")).registration.draining);
+    }
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleRequest, update of an older era, does not count as fresh")
+{
+    ExchangingHost host(clock, "host");
+    host.registry.advanceEnd({ StoreEra { 2 }, LogOffset { 30 } });
+    protocol::ExchangeRequest request;
+    request.mutable_news()->set_servers_end(90);
+    request.mutable_news()->set_servers_end_era(1);
+    request.mutable_news()->set_servers_age_ms(0);
+    protocol::ExchangeReply reply;
+    host.exchange.handleRequest(request, reply);
+    CHECK(host.follower.serversAsOf() == MonotonicTime {});
+    CHECK(host.registry.end() == StorePosition { StoreEra { 2 }, LogOffset { 30 } });
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleRequest, update of a host that tells no eras, is taken as of the own era")
+{
+    ExchangingHost host(clock, "host");
+    host.registry.advanceEnd({ StoreEra { 2 }, LogOffset { 30 } });
+    protocol::ExchangeRequest request;
+    request.mutable_news()->set_servers_end(40);
+    request.mutable_news()->set_servers_from(30);
+    request.mutable_news()->set_servers_age_ms(0);
+    protocol::ServerNews& server = *request.mutable_news()->add_servers();
+    server.set_id("i-1");
+    server.set_offset(35);
+    server.set_service("desk");
+    server.set_endpoint("10.0.1.1:80");
+    protocol::ExchangeReply reply;
+    host.exchange.handleRequest(request, reply);
+    CHECK(host.registry.entries().contains(BackendServerId("i-1")));
+    CHECK(host.registry.end() == StorePosition { StoreEra { 2 }, LogOffset { 40 } });
+    CHECK(host.follower.serversAsOf() == clock.now());
+}
--- a/tests/PlacementCoordinatorTest.cpp
+++ b/tests/PlacementCoordinatorTest.cpp
@@ -54,7 +54,7 @@
         server.startedAt = startedAt;
         server.heartbeat = offset;
         server.draining = draining;
-        registry.apply({ server.id, LogOffset { offset++ }, server, std::nullopt }, StoreHealth::Healthy, clock.now());
+        registry.apply({ server.id, { {}, LogOffset { offset++ } }, server, std::nullopt }, StoreHealth::Healthy, clock.now());
         coordinator.update();
     }
 
@@ -126,7 +126,7 @@
     addServer("i-1", "a");
     const auto reservation = place();
     REQUIRE(reservation);
-    registry.apply({ reservation->server, LogOffset { offset++ }, std::nullopt, std::nullopt }, StoreHealth::Healthy, clock.now());
+    registry.apply({ reservation->server, { {}, LogOffset { offset++ } }, std::nullopt, std::nullopt }, StoreHealth::Healthy, clock.now());
     coordinator.update();
     finish(*reservation, PlacementStatus::Failed);
     CHECK_FALSE(coordinator.place(cell, demand));
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -22,12 +22,12 @@
 
     void call(std::size_t, HttpRequest request, std::chrono::milliseconds, Answer callback) override { calls.push_back({ std::move(request), std::move(callback) }); }
 
-    void respondToFirst(int status, std::string body)
+    void respondToFirst(int status, std::string body, std::vector<HttpField> fields = {})
     {
         REQUIRE_FALSE(calls.empty());
         const auto callback = std::move(calls.front().callback);
         calls.pop_front();
-        callback({}, { status, {}, std::move(body) });
+        callback({}, { status, std::move(fields), std::move(body) });
     }
 
     std::deque<Call> calls;
@@ -133,12 +133,53 @@
 TEST_CASE_FIXTURE(StoreClientFixture, "append, one record, sends length, key and value")
 {
     std::optional<ResultCode> code;
-    store.append(RecordStream::Hosts, "host", "value", [&](ResultCode result) { code = result; });
+    store.append(RecordStream::Hosts, "host", "value", [&](StoreAppendResult result) { code = result.code; });
     CHECK(calls.calls.front().request.body == record("host", "value"));
     calls.respondToFirst(200, R"({"offset":0,"end":1})");
     CHECK(code == ResultCode::Ok);
 }
 
+TEST_CASE_FIXTURE(StoreClientFixture, "read, any response, reports the era of the store")
+{
+    read(RecordStream::Servers);
+    calls.respondToFirst(200, bigEndian(42, 8) + bigEndian(0, 8), { { "store-era", "7" } });
+    CHECK(reading->era == StoreEra { 7 });
+    for (const int status : { 410, 429, 503 }) {
+        read(RecordStream::Servers);
+        calls.respondToFirst(status, "", { { "Store-Era", "8" } });
+        CHECK(reading->era == StoreEra { 8 });
+    }
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "read, no era or one that is no number, reports era 0")
+{
+    for (const char* value : { "", "x", "7x", "-1" }) {
+        read(RecordStream::Servers);
+        calls.respondToFirst(200, bigEndian(42, 8) + bigEndian(0, 8), { { "Store-Era", value } });
+        CHECK(reading->code == ResultCode::Ok);
+        CHECK(reading->era == StoreEra {});
+    }
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "newest, era changes between two pages, reports the newer era and no state")
+{
+    store.readLatest(RecordStream::Servers, [this](StoreReadResult result) { reading = std::move(result); });
+    calls.respondToFirst(200, R"({"items":[{"key":"i-1","value":"e30=","offset":3}],"more":true,"end":8})", { { "Store-Era", "1" } });
+    calls.respondToFirst(200, R"({"items":[{"key":"i-2","value":"e30=","offset":2}],"more":false,"end":4})", { { "Store-Era", "2" } });
+    REQUIRE(reading);
+    CHECK(reading->code == ResultCode::LogUnavailable);
+    CHECK(reading->era == StoreEra { 2 });
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "append, refused, reports the era of the store")
+{
+    std::optional<StoreAppendResult> appended;
+    store.append(RecordStream::Hosts, "host", "value", [&](StoreAppendResult result) { appended = result; });
+    calls.respondToFirst(503, "", { { "Store-Era", "3" } });
+    CHECK(appended->code == ResultCode::LogUnavailable);
+    CHECK(appended->era == StoreEra { 3 });
+}
+
 TEST_CASE_FIXTURE(PlatformRecordsFixture, "decodeServer, complete entry, decodes every field")
 {
     const auto decoded = decodeServer(BackendServerId("i-1"), server);
--- a/tests/ScriptedStore.h
+++ b/tests/ScriptedStore.h
@@ -18,7 +18,7 @@
 
     void read(RecordStream stream, LogOffset from, std::chrono::milliseconds, ReadCallback callback) override { calls.push_back({ stream, false, from, std::move(callback) }); }
     void readLatest(RecordStream stream, ReadCallback callback) override { calls.push_back({ stream, true, {}, std::move(callback) }); }
-    void append(RecordStream, std::string, std::string, std::function<void(ResultCode)>) override { }
+    void append(RecordStream, std::string, std::string, AppendCallback) override { }
 
     std::deque<Call> calls;
 };
--- a/tests/ServerRegistryTest.cpp
+++ b/tests/ServerRegistryTest.cpp
@@ -22,10 +22,16 @@
         server.draining = draining;
         server.heartbeat = heartbeat;
         server.startedAt = std::chrono::milliseconds(startedAt);
-        return { server.id, LogOffset { offset }, server, std::nullopt };
+        return { server.id, { {}, LogOffset { offset } }, server, std::nullopt };
     }
 
-    static ServerChange removal(std::uint64_t offset) { return { BackendServerId("i-1"), LogOffset { offset }, std::nullopt, std::nullopt }; }
+    static ServerChange inEra(std::uint64_t era, ServerChange one)
+    {
+        one.position.era = StoreEra { era };
+        return one;
+    }
+
+    static ServerChange removal(std::uint64_t offset) { return { BackendServerId("i-1"), { {}, LogOffset { offset } }, std::nullopt, std::nullopt }; }
 
     bool apply(const ServerChange& one, StoreHealth health = StoreHealth::Healthy) { return registry.apply(one, health, clock.now()); }
     bool inUse() const { return registry.entries().contains(BackendServerId("i-1")); }
@@ -97,17 +103,17 @@
 TEST_CASE_FIXTURE(ServerRegistryFixture, "replace, server missing from the latest records, is removed")
 {
     apply(change(1, 1));
-    CHECK(registry.replace({}, LogOffset { 9 }, StoreHealth::Healthy, clock.now()));
+    CHECK(registry.replace({}, { {}, LogOffset { 9 } }, StoreHealth::Healthy, clock.now()));
     CHECK_FALSE(inUse());
-    CHECK(registry.endOffset() == LogOffset { 9 });
+    CHECK(registry.end() == StorePosition { {}, LogOffset { 9 } });
 }
 
 TEST_CASE_FIXTURE(ServerRegistryFixture, "changesSince, peer that lacks only a removal, returns the removal")
 {
     apply(change(1, 1));
     apply(removal(7));
-    registry.advanceEndOffset(LogOffset { 8 });
-    const auto changes = registry.changesSince(LogOffset { 5 }, clock.now());
+    registry.advanceEnd({ {}, LogOffset { 8 } });
+    const auto changes = registry.changesSince({ {}, LogOffset { 5 } }, clock.now());
     REQUIRE(changes);
     REQUIRE(changes->size() == 1);
     CHECK_FALSE(changes->front().server);
@@ -119,8 +125,8 @@
     apply(removal(7));
     clock.advance(61s);
     registry.removeExpired(clock.now());
-    CHECK_FALSE(registry.changesSince(LogOffset { 5 }, clock.now()));
-    CHECK(registry.changesSince(LogOffset { 8 }, clock.now()));
+    CHECK_FALSE(registry.changesSince({ {}, LogOffset { 5 } }, clock.now()));
+    CHECK(registry.changesSince({ {}, LogOffset { 8 } }, clock.now()));
 }
 
 TEST_CASE_FIXTURE(ServerRegistryFixture, "changesSince, expired registration, returns the time since it expired")
@@ -128,7 +134,7 @@
     apply(change(1, 1));
     apply(removal(2), StoreHealth::Recovering);
     clock.advance(700ms);
-    const auto changes = registry.changesSince(LogOffset { 1 }, clock.now());
+    const auto changes = registry.changesSince({ {}, LogOffset { 1 } }, clock.now());
     REQUIRE(changes);
     REQUIRE(changes->size() == 1);
     CHECK(changes->front().expiredFor == Duration(700ms));
@@ -137,3 +143,107 @@
     clock.advance(1700ms);
     CHECK(other.removeExpired(clock.now()));
 }
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, server drains at a lower offset of a newer era, is draining")
+{
+    apply(inEra(1, change(90, 4)));
+    CHECK(apply(inEra(2, change(30, 5, true))));
+    CHECK(draining());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, copy shows a draining server as ready, leaves it draining")
+{
+    apply(inEra(1, change(4, 4)));
+    apply(inEra(1, change(90, 6, true)));
+    CHECK_FALSE(apply(inEra(2, change(4, 4))));
+    CHECK(draining());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, copy shows a removed server, adds it only once it has registered again")
+{
+    apply(inEra(1, change(4, 4)));
+    apply(inEra(1, removal(90)));
+    CHECK_FALSE(apply(inEra(2, change(4, 4))));
+    CHECK_FALSE(inUse());
+    CHECK(apply(inEra(2, change(30, 5))));
+    CHECK(inUse());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, removal known from the older era, removes the server that only the copy shows")
+{
+    apply(inEra(2, change(4, 4)));
+    ServerChange gone = inEra(1, removal(90));
+    gone.lastStamp = { std::chrono::milliseconds(1000), 6 };
+    CHECK(apply(gone));
+    CHECK_FALSE(inUse());
+    CHECK_FALSE(apply(inEra(2, change(31, 5))));
+    CHECK(apply(inEra(2, change(32, 7))));
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, removal of the older era before the server registered again, changes nothing")
+{
+    apply(inEra(2, change(30, 7)));
+    ServerChange gone = inEra(1, removal(90));
+    gone.lastStamp = { std::chrono::milliseconds(1000), 6 };
+    CHECK_FALSE(apply(gone));
+    CHECK(inUse());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, registration of an older era that the newer one lacks, adds no server")
+{
+    registry.advanceEnd({ StoreEra { 2 }, LogOffset { 30 } });
+    CHECK_FALSE(apply(inEra(1, change(90, 6))));
+    CHECK_FALSE(inUse());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "replace, server registered after the copy, is kept until it has had time to register again")
+{
+    apply(inEra(1, change(90, 6)));
+    const StorePosition end { StoreEra { 2 }, LogOffset { 30 } };
+    registry.replace({}, end, StoreHealth::Recovering, clock.now());
+    CHECK(registry.end() == end);
+    CHECK(inUse());
+    apply(inEra(2, change(30, 7)));
+    clock.advance(5s);
+    registry.removeExpired(clock.now());
+    CHECK(inUse());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "replace, server registered after the copy and not again, is removed")
+{
+    apply(inEra(1, change(90, 6)));
+    registry.replace({}, { StoreEra { 2 }, LogOffset { 30 } }, StoreHealth::Recovering, clock.now());
+    apply(inEra(1, change(91, 7)));
+    clock.advance(2400ms);
+    CHECK(registry.removeExpired(clock.now()));
+    CHECK_FALSE(inUse());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "changesSince, host that has read the copy, is told what only the older era said")
+{
+    apply(inEra(1, change(4, 4)));
+    apply(inEra(1, change(90, 6, true)));
+    apply(inEra(2, change(4, 4)));
+    registry.advanceEnd({ StoreEra { 2 }, LogOffset { 30 } });
+    ServerRegistry other;
+    other.apply(inEra(2, change(4, 4)), StoreHealth::Healthy, clock.now());
+    other.advanceEnd({ StoreEra { 2 }, LogOffset { 40 } });
+    const auto changes = registry.changesSince(other.end(), clock.now());
+    REQUIRE(changes);
+    REQUIRE(changes->size() == 1);
+    other.apply(changes->front(), StoreHealth::Healthy, clock.now());
+    CHECK(other.entries().at(BackendServerId("i-1")).registration.draining);
+    // Once the server has registered in the newer era, all hosts read so there.
+    apply(inEra(2, change(41, 7, true)));
+    CHECK(registry.changesSince({ StoreEra { 2 }, LogOffset { 42 } }, clock.now())->empty());
+}
+
+TEST_CASE_FIXTURE(ServerRegistryFixture, "apply, pruned removal comes back from another host, is not kept again")
+{
+    apply(inEra(1, change(4, 4)));
+    apply(inEra(1, removal(90)));
+    clock.advance(61s);
+    registry.removeExpired(clock.now());
+    apply(inEra(1, removal(90)));
+    CHECK(registry.allServers(clock.now()).empty());
+}
--- a/tests/StoreFollowerTest.cpp
+++ b/tests/StoreFollowerTest.cpp
@@ -27,6 +27,7 @@
                                     return std::nullopt;
                                 RegisteredServer server;
                                 server.id = id;
+                                server.heartbeat = 1;
                                 return server; },
         clock, [this] { ++changes; } };
 
@@ -47,6 +48,32 @@
         return static_cast<std::size_t>(std::ranges::count_if(store.calls, [&](const auto& call) { return call.stream == stream; }));
     }
 
+    static StoreReadResult inEra(std::uint64_t era, StoreReadResult result)
+    {
+        result.era = StoreEra { era };
+        return result;
+    }
+
+    const auto& nextCall(RecordStream stream)
+    {
+        const auto found = std::ranges::find_if(store.calls, [&](const auto& call) { return call.stream == stream; });
+        REQUIRE(found != store.calls.end());
+        return *found;
+    }
+
+    void readInitialStateOfFirstEra()
+    {
+        follower.tick(StoreReaderRole::Standby);
+        answer(RecordStream::Configuration, inEra(1, { ResultCode::Ok, { { LogOffset { 0 }, "config", "v3" } }, LogOffset { 1 } }));
+        answer(RecordStream::Servers, inEra(1, { ResultCode::Ok, { { LogOffset { 4 }, "i-1", "ready" } }, LogOffset { 5 } }));
+        // The start counts as the end of an outage.
+        for (int step = 0; step < 50; ++step) {
+            clock.advance(100ms);
+            follower.recordFreshness(clock.now(), clock.now());
+        }
+        follower.tick(StoreReaderRole::Primary);
+    }
+
     void readInitialState()
     {
         follower.tick(StoreReaderRole::Standby);
@@ -62,7 +89,7 @@
     readInitialState();
     CHECK(active.version() == ConfigurationVersion { 3 });
     CHECK(registry.entries().size() == 1);
-    CHECK(registry.endOffset() == LogOffset { 5 });
+    CHECK(registry.end() == StorePosition { {}, LogOffset { 5 } });
 }
 
 TEST_CASE_FIXTURE(StoreFollowerFixture, "tick, standby with fresh state from other hosts, does not read")
@@ -164,3 +191,62 @@
     CHECK(registry.entries().size() == 1);
     CHECK(registry.entries().contains(BackendServerId("i-1")));
 }
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "tick, answer of a newer era, reads both streams in full and applies no record of the answer")
+{
+    readInitialStateOfFirstEra();
+    answer(RecordStream::Servers, inEra(2, { ResultCode::Ok, { { LogOffset { 5 }, "i-2", "ready" } }, LogOffset { 6 } }));
+    CHECK_FALSE(registry.entries().contains(BackendServerId("i-2")));
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(nextCall(RecordStream::Servers).readLatest);
+    answer(RecordStream::Configuration, inEra(2, { ResultCode::Ok, { { LogOffset { 1 }, "config", "v9" } }, LogOffset { 2 } }));
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(nextCall(RecordStream::Configuration).readLatest);
+    answer(RecordStream::Configuration, inEra(2, { ResultCode::Ok, { { LogOffset { 0 }, "config", "v4" } }, LogOffset { 1 } }));
+    CHECK(active.version() == ConfigurationVersion { 4 });
+    answer(RecordStream::Servers, inEra(2, { ResultCode::Ok, { { LogOffset { 3 }, "i-2", "ready" } }, LogOffset { 4 } }));
+    CHECK(registry.end() == StorePosition { StoreEra { 2 }, LogOffset { 4 } });
+    CHECK(registry.entries().size() == 2);
+    clock.advance(500ms);
+    follower.tick(StoreReaderRole::Primary);
+    CHECK_FALSE(nextCall(RecordStream::Servers).readLatest);
+    CHECK(nextCall(RecordStream::Servers).from == LogOffset { 4 });
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "tick, refusal of a newer era, reads in full")
+{
+    readInitialStateOfFirstEra();
+    answer(RecordStream::Servers, inEra(2, { ResultCode::LogUnavailable, {}, {} }));
+    CHECK(follower.era() == StoreEra { 2 });
+    clock.advance(1s);
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(nextCall(RecordStream::Servers).readLatest);
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "tick, answer of an older era arrives late, is dropped and read again after a delay")
+{
+    readInitialStateOfFirstEra();
+    follower.recordEra(StoreEra { 2 }, "other");
+    answer(RecordStream::Configuration, inEra(1, { ResultCode::Ok, { { LogOffset { 1 }, "config", "v9" } }, LogOffset { 2 } }));
+    CHECK(active.version() == ConfigurationVersion { 3 });
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(callCount(RecordStream::Configuration) == 0);
+    clock.advance(200ms);
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(nextCall(RecordStream::Configuration).readLatest);
+}
+
+TEST_CASE_FIXTURE(StoreFollowerFixture, "recordEra, newer era told by another host, keeps servers that the copy lacks for a while")
+{
+    readInitialStateOfFirstEra();
+    CHECK(follower.storeHealth() == StoreHealth::Healthy);
+    follower.recordEra(StoreEra { 2 }, "other");
+    CHECK(follower.storeHealth() == StoreHealth::Recovering);
+    answer(RecordStream::Servers, inEra(2, { ResultCode::CheckpointMissing, {}, {} }));
+    follower.tick(StoreReaderRole::Primary);
+    answer(RecordStream::Servers, inEra(2, { ResultCode::Ok, {}, LogOffset { 3 } }));
+    CHECK(registry.entries().size() == 1);
+    clock.advance(2400ms);
+    follower.tick(StoreReaderRole::Primary);
+    CHECK(registry.entries().empty());
+}
