--- a/scripts/fleet/gateway_fixture.py
+++ b/scripts/fleet/gateway_fixture.py
@@ -125,12 +125,12 @@
         return {line[len(prefix):].split(":")[0] for line in file if line.startswith(prefix)}
 
 
-def run_cases(cases):
+def run_cases(cases, make_fixture=Fixture):
     """Runs the cases named on the command line, or all, on one fixture. Returns the exit code. A case that KNOWN-RED.txt
     lists has to fail."""
     failed = 0
     known = known_failures()
-    fixture = Fixture()
+    fixture = make_fixture()
     try:
         for case in cases:
             if len(sys.argv) > 1 and case.__name__ not in sys.argv[1:]:
