Connections that are accepted during a planned stop get time for their first request

What callers saw: on a host that stops, a connection that the balancer had just forwarded was closed without an answer before its request came, as it was idle when the host looked for idle connections, each 100 ms. Seen once in a run of planned_stop; the new case, which sends 150 ms after it has connected, gets no response on the code before.

The test of pipelined requests waited for a log line that the host of an earlier case had written, as hosts of one name share a log: each case has a host of its own name now (seen once, the request then came before the signal was handled). Servers in the tests of two eras are complete, as incomplete registrations name no server to use.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -21,6 +21,8 @@
     // a slow host.
     constexpr std::chrono::seconds idleMargin { 1 };
     constexpr unsigned tcpUserTimeoutMs = 5000;
+    // A caller that has just connected is about to send its first request.
+    constexpr std::chrono::milliseconds firstRequestTime { 500 };
 
     using RequestParser = http::request_parser<http::string_body>;
 
@@ -43,6 +45,7 @@
 CallerConnection::CallerConnection(RequestServices& services, CallerConnections& connections, net::ip::tcp::socket socket)
     : m_services(services)
     , m_connections(connections)
+    , m_acceptedAt(services.clock.now())
     , m_socket(std::move(socket))
     , m_timer(services.context)
     , m_queueSpaceTimer(services.context)
@@ -322,7 +325,7 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!isIdle() || m_closing)
+    if (!isIdle() || m_closing || m_services.clock.now() - m_acceptedAt < firstRequestTime)
         return;
     m_closing = true;
     boost::system::error_code ignored;
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -27,7 +27,7 @@
     /// \returns whether no request is being received or served and no response is being sent.
     bool isIdle() const { return m_pending.empty() && !m_receiving; }
 
-    /// \brief Closes the connection if it is idle.
+    /// \brief Closes the connection if it is idle and was not opened a moment ago.
     void closeIfIdle();
 
     /// \brief Ends all requests that are unfinished, so that the responses behind them are sent too.
@@ -63,6 +63,7 @@
 
     RequestServices& m_services;
     CallerConnections& m_connections;
+    MonotonicTime m_acceptedAt;
     net::ip::tcp::socket m_socket;
     net::steady_timer m_timer;
     /// Cancelled to wake the reader when the queue has space for further requests.
--- a/tests/FleetExchangeTest.cpp
+++ b/tests/FleetExchangeTest.cpp
@@ -212,7 +212,9 @@
     RegisteredServer server;
     server.id = BackendServerId(id);
     server.service = ServiceId("desk");
+    server.zone = ZoneId("a");
     server.endpoint = { "10.0.1.1", 80 };
+    server.slots = SlotCount { 6 };
     server.draining = draining;
     server.heartbeat = heartbeat;
     return { server.id, { StoreEra { era }, LogOffset { offset } }, server, std::nullopt };
@@ -282,7 +284,9 @@
     server.set_id("i-1");
     server.set_offset(35);
     server.set_service("desk");
+    server.set_zone("a");
     server.set_endpoint("10.0.1.1:80");
+    server.set_slots(6);
     protocol::ExchangeReply reply;
     host.exchange.handleRequest(request, reply);
     CHECK(host.registry.entries().contains(BackendServerId("i-1")));
--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -23,10 +23,14 @@
 class StoppingHost:
     """A host of its own that a case stops, with routes whose requests may outlast the stop."""
 
+    count = 0
+
     def __init__(self, fixture):
         self.fixture = fixture
         fixture.publish(ROUTES + LONG_ROUTES, ACCOUNTS)
-        self.host = Gateway("stopping", "a", fixture.store, fixture.directory, BUILD)
+        # Hosts of one name share a log.
+        StoppingHost.count += 1
+        self.host = Gateway(f"stopping-{StoppingHost.count}", "a", fixture.store, fixture.directory, BUILD)
         self.host.await_ready()
         for backend in fixture.backends:
             backend.hanging_paths = {"/long/hang", "/order/hang"}
@@ -107,6 +111,22 @@
         check(host.process.wait() == 0, "exit code")
 
 
+def request_on_a_connection_accepted_late_in_a_stop_is_answered(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as occupant:
+        # Keeps the host from ending early.
+        await_execution(fixture, occupant.send("GET", "/long/hang", deadline_ms=LONG_MS))
+        host.process.terminate()
+        time.sleep(BALANCER_REACTION_S + 0.2)
+        for _ in range(3):
+            with Caller(host.callers) as caller:
+                # Longer than from one look at idle connections to the next.
+                time.sleep(0.15)
+                caller.send("POST", "/book/1", body=b"clock", deadline_ms=1000)
+                response = caller.receive()
+            check(response and response.status == 200, f"status {response and response.status}")
+        check(host.process.wait() == 0, "exit code")
+
+
 def booking_of_a_half_closed_connection_is_answered_during_a_stop(fixture):
     with StoppingHost(fixture) as host, Caller(host.callers) as caller:
         for backend in fixture.backends:
@@ -121,7 +141,7 @@
 
 
 CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
-         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it,
+         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it, request_on_a_connection_accepted_late_in_a_stop_is_answered,
          booking_of_a_half_closed_connection_is_answered_during_a_stop]
 
 if __name__ == "__main__":
