--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -27,7 +27,7 @@
     /// \returns whether no request is being received or served and no response is being sent.
     bool isIdle() const { return m_pending.empty() && !m_receiving; }
 
-    /// \brief Closes the connection if it is idle.
+    /// \brief Closes the connection if it is idle and was not opened a moment ago.
     void closeIfIdle();
 
     /// \brief Ends all requests that are unfinished, so that the responses behind them are sent too.
@@ -54,15 +54,16 @@
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode);
     void writeNextResponse();
-    void onResponseWritten(bool closesConnection, const boost::system::error_code&);
+    void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
-    void unregister();
+    void unregisterIfDone();
     void startTimer(Duration);
     CallerLimits limits() const;
     Duration idleTimeout() const;
 
     RequestServices& m_services;
     CallerConnections& m_connections;
+    MonotonicTime m_acceptedAt;
     net::ip::tcp::socket m_socket;
     net::steady_timer m_timer;
     /// Cancelled to wake the reader when the queue has space for further requests.
@@ -74,6 +75,7 @@
     /// No further requests are accepted.
     bool m_closing = false;
     bool m_timedOut = false;
+    bool m_readerEnded = false;
 };
 
 } // namespace lacewingsail::internal
