Learned processing times are averages of observations

Cause: each outcome multiplied the believed time by its ratio to what was forecast when the request was placed. That integrates with the delay of a request; gain = outcomes a second x weight x delay. Above about 1.6 it is unstable, and the clipping (0.1 to 3) makes it run upwards. Small deployments stay below that.

Change: the estimate is a moving average of duration over congestion, a sample counts as three times the average at most, and the estimate never exceeds the latency objective. Without samples it is 0.3 of the objective. Overdue requests count up to the bound of the latency ratio. An idle server is probed although it seems too slow, by requests that cannot be retried too if it does not seem to fail and no other did for 1.5 s.

--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -105,7 +105,7 @@
     if (demand.isRetry && !tryWithdraw(retryBudget, parameters, now))
         return PlacementDecision { std::nullopt, 0, 0, {}, true, false };
     TrackedServer& server = *servers[chosen->serverIndex];
-    lacewingsail::addPlacement(server, budgetedDemand, processingTimes, placementId, now);
+    lacewingsail::addPlacement(server, budgetedDemand, placementId, now);
     return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
 }
 
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -9,8 +9,12 @@
 
     using Seconds = std::chrono::duration<double>;
 
-    // Used for a kind of request that has not been answered yet: the middle of the platform's specified processing times.
+    // Used for a kind of request that has not been answered yet: operators set latency objectives of about three times the
+    // processing time.
+    constexpr double defaultObjectiveShare = 0.3;
+    // Used for routes without a latency objective.
     constexpr Seconds defaultProcessingTime { 0.35 };
+    constexpr Seconds minProcessingTime { 0.001 };
     // Requests last about this long, so that an older reported load says little about the current one.
     constexpr Seconds untrackedLoadHalfLife { 1.0 };
     constexpr double untrackedLoadWeight = 0.4;
@@ -19,6 +23,8 @@
     constexpr double latencyRatioWeight = 0.25;
     constexpr double maxLatencyRatio = 20;
     constexpr double processingTimeWeight = 0.05;
+    // Longer samples count as this many times the average, so that one slow server does not change it.
+    constexpr double maxSampleRatio = 3;
     // A server that has just started is slower than others by about this factor; used until it has answered a request.
     constexpr double warmupLatencyRatio = 1.6;
     // Servers slow down by up to about this share as their slots fill up (platform documentation: "some slow down when nearly
@@ -49,6 +55,8 @@
     constexpr double probeIntervalGrowth = 3;
     // An idle server is probed after this time: operators count a server without requests for 2 s as taken out of use.
     constexpr Seconds maxIdleTime { 1.0 };
+    // Requests that cannot be retried probe an idle server only if no others did.
+    constexpr Seconds maxIdleTimeUnretryable { 1.5 };
     // Random variation of the loss, so that equal servers share the requests.
     constexpr double tieBreakShare = 0.05;
     constexpr std::chrono::milliseconds expiryMargin { 200 };
@@ -58,17 +66,20 @@
     Seconds processingTime(const ProcessingTimes& processingTimes, std::chrono::milliseconds objective)
     {
         const auto found = processingTimes.find(objective);
-        return found == processingTimes.end() ? defaultProcessingTime : found->second;
+        const Seconds bound(objective);
+        if (found != processingTimes.end())
+            return objective.count() > 0 ? std::min(found->second, bound) : found->second;
+        return objective.count() > 0 ? bound * defaultObjectiveShare : defaultProcessingTime;
     }
 
-    double currentLatencyRatio(const TrackedServer& server, MonotonicTime now)
+    double currentLatencyRatio(const TrackedServer& server, const ProcessingTimes& processingTimes, MonotonicTime now)
     {
         const double decayed = 1 + (server.latencyRatio - 1) * decayFactor(now - server.latencyRatioUpdatedAt, latencyRatioHalfLife);
         const double known = !server.hasAnswered && now < server.warmupEndsAt ? std::max(decayed, warmupLatencyRatio) : decayed;
         // In-flight requests that are overdue show a slowdown before they end.
         double sum = 0;
         for (const InFlightPlacement& placement : server.inFlightPlacements)
-            sum += std::max(1.0, (now - placement.placedAt) / placement.expectedDuration);
+            sum += std::clamp((now - placement.placedAt) / (processingTime(processingTimes, placement.latencyObjective) * placement.congestionFactor), 1.0, maxLatencyRatio);
         return server.inFlightPlacements.empty() ? known : std::max(known, sum / static_cast<double>(server.inFlightPlacements.size()));
     }
 
@@ -85,9 +96,11 @@
         return now < server.overloadedUntil || std::ranges::find(demand.excludedServers, server.registration.id) != demand.excludedServers.end();
     }
 
-    bool isProbeDue(const TrackedServer& server, double probability, MonotonicTime now)
+    bool isProbeDue(const TrackedServer& server, const PlacementDemand& demand, double probability, MonotonicTime now)
     {
         const Seconds idleTime = now - server.lastPlacedAt;
+        if (!demand.canRetry)
+            return probability < minProbedProbability && idleTime >= maxIdleTimeUnretryable && server.inFlightPlacements.empty();
         return idleTime >= maxIdleTime || (probability >= minProbedProbability && idleTime >= probeInterval * (1 + probeIntervalGrowth * probability));
     }
 
@@ -118,13 +131,15 @@
 
     void recordDuration(TrackedServer& server, ProcessingTimes& processingTimes, const InFlightPlacement& placed, Seconds duration, MonotonicTime now)
     {
-        const double ratio = std::clamp(duration / placed.expectedDuration, 0.1, maxLatencyRatio);
+        const Seconds usual = processingTime(processingTimes, placed.latencyObjective);
+        const Seconds sample = duration / placed.congestionFactor;
+        const double ratio = std::clamp(sample / usual, 0.1, maxLatencyRatio);
         const double before = 1 + (server.latencyRatio - 1) * decayFactor(now - server.latencyRatioUpdatedAt, latencyRatioHalfLife);
         server.latencyRatio = before + (ratio - before) * latencyRatioWeight;
         server.latencyRatioUpdatedAt = now;
-        const Seconds usual = processingTime(processingTimes, placed.latencyObjective);
-        // Bounded, so that one slow server does not change the usual processing time.
-        processingTimes[placed.latencyObjective] = usual * (1 + processingTimeWeight * (std::min(ratio, 3.0) - 1));
+        // An average of observations: a correction by the ratio to what was forecast at the placement would be an integrator with
+        // the delay of the request, which is unstable at many outcomes per second.
+        processingTimes[placed.latencyObjective] = std::max(usual + (std::min(sample, usual * maxSampleRatio) - usual) * processingTimeWeight, minProcessingTime);
     }
 
 } // namespace internal
@@ -147,13 +162,17 @@
         if (internal::isExcluded(server, demand, now))
             continue;
         const double load = estimatedLoad(server, now);
-        const internal::Seconds time = usualTime * internal::currentLatencyRatio(server, now) * internal::congestionFactor(server, load);
-        if (load + 1 > demand.maxLoadPerSlot * server.registration.slots.value || time >= demand.timeToDeadline)
+        const internal::Seconds timeAtUsualSpeed = usualTime * internal::congestionFactor(server, load);
+        if (load + 1 > demand.maxLoadPerSlot * server.registration.slots.value || timeAtUsualSpeed >= demand.timeToDeadline)
             continue;
+        const internal::Seconds time = timeAtUsualSpeed * internal::currentLatencyRatio(server, processingTimes, now);
         const double probability = grayFailureProbability(server.failureEstimate, now);
         const double loss = internal::expectedLoss(demand, probability, time);
-        if (demand.canRetry && internal::isProbeDue(server, probability, now))
+        // A probe goes out also if the server seems too slow: no other evidence could show that it no longer is.
+        if (internal::isProbeDue(server, demand, probability, now))
             return PlacementChoice { index, loss, (load + 1) / server.registration.slots.value };
+        if (time >= demand.timeToDeadline)
+            continue;
         if (avoidSuspected && probability >= internal::avoidedProbability)
             continue;
         // Successive multiples of an irrational number are evenly spread, so that one random number suffices for all servers.
@@ -173,11 +192,10 @@
     return loadPerSlot > internal::maxDeferrableLoadPerSlot && slack > internal::minDeferrableSlack;
 }
 
-void addPlacement(TrackedServer& server, const PlacementDemand& demand, const ProcessingTimes& processingTimes, std::uint64_t placementId, MonotonicTime now)
+void addPlacement(TrackedServer& server, const PlacementDemand& demand, std::uint64_t placementId, MonotonicTime now)
 {
     server.lastPlacedAt = now;
-    const internal::Seconds expected = internal::processingTime(processingTimes, demand.latencyObjective) * internal::congestionFactor(server, estimatedLoad(server, now));
-    server.inFlightPlacements.push_back({ placementId, now, now + demand.timeToDeadline + internal::expiryMargin, expected, demand.latencyObjective, demand.isRetry });
+    server.inFlightPlacements.push_back({ placementId, now, now + demand.timeToDeadline + internal::expiryMargin, internal::congestionFactor(server, estimatedLoad(server, now)), demand.latencyObjective, demand.isRetry });
 }
 
 std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes& processingTimes, const PlacementOutcome& outcome, MonotonicTime now)
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -19,8 +19,8 @@
     MonotonicTime placedAt {};
     /// When it is dropped although no outcome was received.
     MonotonicTime expiresAt {};
-    /// Expected time to answer on a server of the usual speed with the load at the time of the placement.
-    std::chrono::duration<double> expectedDuration { 0 };
+    /// Expected ratio of its time to answer to the processing time, from the server's load at the time of the placement.
+    double congestionFactor = 1;
     /// Latency objective of its route; identifies the kind of work.
     std::chrono::milliseconds latencyObjective { 0 };
     /// Whether the request had been sent to another server before.
@@ -47,7 +47,8 @@
     bool hasAnswered = false;
 };
 
-/// \brief Usual processing times of a service's requests, without queueing, by latency objective.
+/// \brief Usual processing times of a service's requests, without queueing, by latency objective. Moving averages of what was
+/// observed, never above the latency objective.
 using ProcessingTimes = std::map<std::chrono::milliseconds, std::chrono::duration<double>>;
 
 /// \brief Requirements of a request that needs a server; sent to the coordinator.
@@ -109,8 +110,8 @@
 /// A third to all of the slots are busy, and each of the many hosts sees only about one request in a hundred. The coordinator
 /// places all requests of these servers, so that it alone knows the current load of each and the order of its outcomes.
 /// Servers with a probable gray failure get only requests that can be retried, about one per second, until they
-/// succeed, unless most of the servers seem to fail. Every server gets a request per second if there are enough requests that
-/// can be retried, since a server without recent outcomes cannot be told from a failing one.
+/// succeed, unless most of the servers seem to fail. Every server gets a request per second if there are enough requests, since a
+/// server without recent outcomes cannot be told from a failing or a slow one.
 /// Linear in the number of servers and of their in-flight placements; allocates nothing.
 /// \param random uniformly distributed in [0, 1); breaks ties.
 /// \returns nothing if no server has capacity left or could answer in time.
@@ -124,7 +125,7 @@
 bool shouldWaitForSlot(const PlacementDemand&, const ProcessingTimes&, double loadPerSlot);
 
 /// \brief Adds a placement to \p server.
-void addPlacement(TrackedServer& server, const PlacementDemand&, const ProcessingTimes&, std::uint64_t placementId, MonotonicTime now);
+void addPlacement(TrackedServer& server, const PlacementDemand&, std::uint64_t placementId, MonotonicTime now);
 
 /// \brief Removes a placement from \p server and records its outcome. \returns the placement, or nothing if it is unknown or has
 /// expired; its duration is not recorded then, but its status and the reported load are.
--- a/tests/CoordinatedPlacementTest.cpp
+++ b/tests/CoordinatedPlacementTest.cpp
@@ -52,7 +52,7 @@
 
     std::uint64_t placeOn(std::size_t index)
     {
-        addPlacement(servers[index], demand, processingTimes, nextPlacementId, clock.now());
+        addPlacement(servers[index], demand, nextPlacementId, clock.now());
         return nextPlacementId++;
     }
 
