Placements whose reply is lost are cancelled, outcomes are delivered

Each one left its reservation at the coordinator until the request's deadline (4 to 6 s, ten times the work), and the outcomes that rode on the call were lost with it, so that finished requests stayed in flight too; such a server looks full and slow.

Change: the caller chooses the id of a placement and cancels it when no reply came in time; a cancellation that overtakes its request wins. Outcomes are kept for 5 s until the coordinator acknowledges them, every 250 ms; a coordinator counts each once. The time-out of a placement is 200 ms, as replies wait behind response bodies on a link of 10 Mbit/s. Coordinators are ranked by rendezvous hashing weighted with their processor cores, so that the many hosts of 0.1 core get fewer cells than those of 0.5. A rejection without capacity logs, once a second and cell, what is believed (in flight, estimated load, processing time, suspected) beside what the servers reported: placement-no-capacity. A coordinator looks at the servers of the cell only, not three times at all servers of the fleet.

Tests: PlacementCoordinatorTest with calls whose requests or replies are lost. With cancellation and redelivery taken out 3 of the 5 new cases fail (2 of 3 slots stay free instead of 3, a placement after its cancellation is made).

--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -173,6 +173,7 @@
     message.set_expendable(demand.canRetry);
     message.set_repeat(demand.isRetry);
     message.set_waited_ms(milliseconds(demand.age));
+    message.set_number(demand.placementId);
 }
 
 PlacementCell decodeCell(const protocol::PlacementDemand& message)
@@ -184,6 +185,7 @@
 PlacementDemand decode(const protocol::PlacementDemand& message)
 {
     PlacementDemand demand;
+    demand.placementId = message.number();
     demand.service = ServiceId(message.cell().service());
     for (const std::string& id : message.excluded())
         demand.excludedServers.emplace_back(id);
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -16,9 +16,9 @@
     // the latency objectives.
     constexpr std::chrono::milliseconds tokenTimeout { 400 };
 
-    // Many times the latency to a host of any zone (3 ms) and several times what a host with a tenth of a core needs to
-    // respond; a request that waits for it loses less than a tenth of its latency objective.
-    constexpr std::chrono::milliseconds placementTimeout { 90 };
+    // A response body of some hundred kilobytes occupies a link of 10 Mbit/s for this long, and the coordinator's replies wait
+    // behind it.
+    constexpr std::chrono::milliseconds placementTimeout { 200 };
 
     /// \brief A call in flight; lives until it is answered or has failed.
     template <typename Request, typename Reply>
@@ -187,12 +187,14 @@
     });
 }
 
-void GatewayCalls::reportOutcomes(const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes)
+void GatewayCalls::reportOutcomes(const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes, DeliveryCallback callback)
 {
     const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
     call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
     protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Place(&call->context, call->request.get(), &call->reply, [call](const grpc::Status&) {});
+    stub.async()->Place(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
+        m_implementation->loop.post([callback, ok = status.ok()] { callback(ok); });
+    });
 }
 
 } // namespace lacewingsail
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
@@ -35,7 +35,7 @@
     void exchange(const Endpoint&, std::unique_ptr<protocol::ExchangeRequest>, ExchangeCallback) override;
     void requestTokens(const Endpoint&, const TokenDemand&, TokenCallback) override;
     void place(const Endpoint&, const PlacementCell& cell, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementCallback) override;
-    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&) override;
+    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&, DeliveryCallback) override;
 
 private:
     struct Implementation;
--- a/packages/exchange/lacewingsail/src/Exchange/HostCalls.h
+++ b/packages/exchange/lacewingsail/src/Exchange/HostCalls.h
@@ -41,6 +41,8 @@
         std::optional<PlacementDecision> reply;
     };
     using PlacementCallback = std::function<void(const PlaceCallResult&)>;
+    /// Called with whether the other host acknowledged the outcomes; without an acknowledgement it may have recorded them.
+    using DeliveryCallback = std::function<void(bool acknowledged)>;
 
     virtual ~HostCalls() = default;
 
@@ -53,9 +55,8 @@
     /// \brief Asks another host to choose a server of \p cell, and reports to it how earlier requests ended.
     virtual void place(const Endpoint&, const PlacementCell& cell, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementCallback) = 0;
 
-    /// \brief Reports to another host the outcomes of requests that it placed. Placements whose report is lost expire there at
-    /// the requests' deadlines.
-    virtual void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&) = 0;
+    /// \brief Reports to another host the outcomes of requests that it placed.
+    virtual void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&, DeliveryCallback) = 0;
 };
 
 } // namespace lacewingsail
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -15,24 +15,48 @@
     // A tenth of the usual processing times: the coordinator's view of the servers is this old at most.
     constexpr std::chrono::milliseconds outcomeDelay { 30 };
     constexpr std::size_t maxUnsentOutcomes = 256;
+    constexpr std::chrono::milliseconds redeliveryInterval { 250 };
+    // Requests end within some seconds, and their placements with them.
+    constexpr std::chrono::seconds outcomeRetention { 5 };
+    constexpr std::chrono::milliseconds zoneHostsPeriod { 250 };
+
+    template <typename Pending>
+    std::vector<PlacementOutcome> outcomesOf(const std::vector<Pending>& pending)
+    {
+        std::vector<PlacementOutcome> outcomes;
+        for (const Pending& entry : pending)
+            outcomes.push_back(entry.outcome);
+        return outcomes;
+    }
 
 } // namespace internal
 
-PlacementClient::PlacementClient(FleetDirectory& directory, PlacementCoordinator& coordinator, EventLoop& loop, const Clock& clock)
+PlacementClient::PlacementClient(FleetDirectory& directory, PlacementCoordinator& coordinator, EventLoop& loop, const Clock& clock, std::uint64_t firstPlacementId)
     : m_directory(directory)
     , m_coordinator(coordinator)
     , m_loop(loop)
     , m_clock(clock)
+    , m_nextPlacementId(firstPlacementId)
+{
+}
+
+const std::vector<LiveHost>& PlacementClient::hostsInZone(const ZoneId& zone)
 {
+    const MonotonicTime now = m_clock.now();
+    ZoneHosts& known = m_zoneHosts[zone];
+    if (now >= known.validUntil) {
+        known.hosts = m_directory.liveHosts(now);
+        std::erase_if(known.hosts, [&](const LiveHost& host) { return host.zone != zone; });
+        known.validUntil = now + internal::zoneHostsPeriod;
+    }
+    return known.hosts;
 }
 
-std::optional<LiveHost> PlacementClient::coordinatorFor(const PlacementCell& cell) const
+std::optional<LiveHost> PlacementClient::coordinatorFor(const PlacementCell& cell)
 {
     const MonotonicTime now = m_clock.now();
-    auto live = m_directory.liveHosts(now);
-    std::erase_if(live, [&](const LiveHost& host) { return host.zone != cell.zone; });
     const std::string subject = cell.service.value() + '/' + std::to_string(cell.index);
-    for (const LiveHost* host : rankHosts(live, subject, internal::maxCoordinators)) {
+    for (const LiveHost* host : rankHostsByProcessor(hostsInZone(cell.zone), subject, internal::maxCoordinators)) {
         const auto avoided = m_avoidUntil.find(host->id);
         if (avoided == m_avoidUntil.end() || now >= avoided->second)
             return *host;
@@ -40,16 +64,34 @@
     return std::nullopt;
 }
 
-std::vector<PlacementOutcome> PlacementClient::takeUnsentOutcomes(const HostId& coordinator)
+std::vector<PlacementClient::PendingOutcome> PlacementClient::takeUnsentOutcomes(const HostId& coordinator)
 {
     const auto found = m_unsent.find(coordinator);
     if (found == m_unsent.end())
         return {};
-    std::vector<PlacementOutcome> outcomes = std::move(found->second.outcomes);
+    std::vector<PendingOutcome> outcomes = std::move(found->second.outcomes);
     m_unsent.erase(found);
     return outcomes;
 }
 
+void PlacementClient::addUnsentOutcomes(const LiveHost& coordinator, std::vector<PendingOutcome> outcomes)
+{
+    const MonotonicTime now = m_clock.now();
+    // A placement without a recorded outcome expires at the coordinator at the request's deadline.
+    std::erase_if(outcomes, [now](const PendingOutcome& pending) { return now >= pending.discardAt; });
+    if (outcomes.empty())
+        return;
+    UnsentOutcomes& unsent = m_unsent[coordinator.id];
+    unsent.endpoint = coordinator.peerEndpoint;
+    for (PendingOutcome& pending : outcomes) {
+        if (unsent.outcomes.size() < internal::maxUnsentOutcomes)
+            unsent.outcomes.push_back(std::move(pending));
+    }
+    if (std::exchange(m_flushScheduled, true))
+        return;
+    m_loop.after(internal::outcomeDelay, [this] { flush(); });
+}
+
 void PlacementClient::place(const PlacementCell& cell, const PlacementDemand& demand, Callback callback)
 {
     const auto coordinator = coordinatorFor(cell);
@@ -62,14 +104,21 @@
             return callback(PlacementResponse { std::nullopt, 0, decision->retryAfter, decision->retryBudgetExhausted, decision->shouldWait });
         callback(PlacementResponse { PlacementReservation { coordinator, *decision->server, decision->placementId }, decision->expectedLoss, {}, false, false });
     };
+    PlacementDemand numbered = demand;
+    numbered.placementId = m_nextPlacementId++;
     if (coordinator->id == m_directory.self().id)
-        return respond(m_coordinator.place(cell, demand));
+        return respond(m_coordinator.place(cell, numbered));
     if (!m_calls)
         return respond(std::nullopt);
-    m_calls->place(coordinator->peerEndpoint, cell, demand, takeUnsentOutcomes(coordinator->id), [this, coordinator = coordinator->id, respond](const HostCalls::PlaceCallResult& result) {
+    std::vector<PendingOutcome> outcomes = takeUnsentOutcomes(coordinator->id);
+    const std::vector<PlacementOutcome> sent = internal::outcomesOf(outcomes);
+    m_calls->place(coordinator->peerEndpoint, cell, numbered, sent, [this, coordinator = *coordinator, placementId = numbered.placementId, outcomes = std::move(outcomes), respond](const HostCalls::PlaceCallResult& result) mutable {
         if (!result.answered) {
-            m_avoidUntil[coordinator] = m_clock.now() + internal::coordinatorAvoidancePeriod;
-            log(Event("placement-coordinator-timeout").with("host", coordinator));
+            m_avoidUntil[coordinator.id] = m_clock.now() + internal::coordinatorAvoidancePeriod;
+            log(Event("placement-coordinator-timeout").with("host", coordinator.id));
+            // The coordinator may have placed the request, and recorded the outcomes or not.
+            outcomes.push_back({ { {}, placementId, PlacementStatus::Cancelled, {}, std::nullopt }, m_clock.now() + internal::outcomeRetention });
+            addUnsentOutcomes(coordinator, std::move(outcomes));
         }
         respond(result.reply);
     });
@@ -81,24 +130,23 @@
     outcome.placementId = reservation.placementId;
     if (reservation.coordinator.id == m_directory.self().id)
         return m_coordinator.recordOutcomes(std::span(&outcome, 1));
-    UnsentOutcomes& unsent = m_unsent[reservation.coordinator.id];
-    unsent.endpoint = reservation.coordinator.peerEndpoint;
-    // A placement without a reported outcome expires at the coordinator at the request's deadline.
-    if (unsent.outcomes.size() < internal::maxUnsentOutcomes)
-        unsent.outcomes.push_back(std::move(outcome));
-    if (std::exchange(m_flushScheduled, true))
-        return;
-    m_loop.after(internal::outcomeDelay, [this] { flush(); });
+    addUnsentOutcomes(reservation.coordinator, { { std::move(outcome), m_clock.now() + internal::outcomeRetention } });
 }
 
 void PlacementClient::flush()
 {
     m_flushScheduled = false;
-    const auto unsent = std::exchange(m_unsent, {});
+    auto unsent = std::exchange(m_unsent, {});
     if (!m_calls)
         return;
-    for (const auto& [coordinator, outcomes] : unsent)
-        m_calls->reportOutcomes(outcomes.endpoint, outcomes.outcomes);
+    for (auto& [id, pending] : unsent) {
+        const LiveHost coordinator { id, {}, pending.endpoint, 0 };
+        const std::vector<PlacementOutcome> outcomes = internal::outcomesOf(pending.outcomes);
+        m_calls->reportOutcomes(pending.endpoint, outcomes, [this, coordinator, pending = std::move(pending.outcomes)](bool acknowledged) mutable {
+            if (!acknowledged)
+                m_loop.after(internal::redeliveryInterval, [this, coordinator, pending = std::move(pending)]() mutable { addUnsentOutcomes(coordinator, std::move(pending)); });
+        });
+    }
 }
 
 } // namespace lacewingsail
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
@@ -33,14 +33,16 @@
 
 /// \brief Asks coordinators for servers, and reports to them how the requests ended.
 ///
-/// Rendezvous hashing over the live hosts of the servers' availability zone selects a coordinator for each cell. Outcomes are
-/// sent with the next demand to the same coordinator, or on their own after a short delay.
+/// Rendezvous hashing over the live hosts of the servers' availability zone, weighted with their processors, selects a
+/// coordinator for each cell. Outcomes are sent with the next demand to the same coordinator, or on their own after a short delay,
+/// until the coordinator acknowledges them. A placement whose reply was not received in time is cancelled.
 class PlacementClient {
 public:
     /// Called with nothing if no coordinator answered, or the coordinator knows no server of the cell.
     using Callback = std::function<void(std::optional<PlacementResponse>)>;
 
-    PlacementClient(FleetDirectory&, PlacementCoordinator&, EventLoop&, const Clock&);
+    /// \param firstPlacementId should be random, so that the ids of all hosts and of their earlier runs differ.
+    PlacementClient(FleetDirectory&, PlacementCoordinator&, EventLoop&, const Clock&, std::uint64_t firstPlacementId);
 
     /// \brief Sets the calls to other hosts; without them only this host is asked.
     void connect(HostCalls& calls) { m_calls = &calls; }
@@ -52,13 +54,26 @@
     void reportOutcome(const PlacementReservation&, PlacementOutcome);
 
 private:
+    struct PendingOutcome {
+        PlacementOutcome outcome;
+        /// The coordinator has dropped the placement by then.
+        MonotonicTime discardAt {};
+    };
+    /// \brief Outcomes that a coordinator has not acknowledged.
     struct UnsentOutcomes {
         Endpoint endpoint;
-        std::vector<PlacementOutcome> outcomes;
+        std::vector<PendingOutcome> outcomes;
+    };
+    /// \brief The live hosts of a zone as of a moment ago.
+    struct ZoneHosts {
+        std::vector<LiveHost> hosts;
+        MonotonicTime validUntil {};
     };
 
-    std::optional<LiveHost> coordinatorFor(const PlacementCell&) const;
-    std::vector<PlacementOutcome> takeUnsentOutcomes(const HostId& coordinator);
+    const std::vector<LiveHost>& hostsInZone(const ZoneId&);
+    std::optional<LiveHost> coordinatorFor(const PlacementCell&);
+    std::vector<PendingOutcome> takeUnsentOutcomes(const HostId& coordinator);
+    void addUnsentOutcomes(const LiveHost& coordinator, std::vector<PendingOutcome>);
     void flush();
 
     FleetDirectory& m_directory;
@@ -69,6 +84,8 @@
     /// Coordinators that did not answer, and until when they are skipped.
     std::map<HostId, MonotonicTime> m_avoidUntil;
     std::map<HostId, UnsentOutcomes> m_unsent;
+    std::map<ZoneId, ZoneHosts> m_zoneHosts;
+    std::uint64_t m_nextPlacementId;
     bool m_flushScheduled = false;
 };
 
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -16,6 +16,7 @@
     constexpr std::chrono::milliseconds waitInterval { 100 };
     // A gray failure is logged once it is more likely than not, and again once it no longer is.
     constexpr double loggedProbability = 0.5;
+    constexpr std::chrono::seconds rejectionLogInterval { 1 };
 
     bool isSameIncarnation(const RegisteredServer& left, const RegisteredServer& right)
     {
@@ -38,37 +39,45 @@
         const auto entry = m_registry.entries().find(tracked.first);
         return entry == m_registry.entries().end() || !internal::isSameIncarnation(entry->second.registration, tracked.second.registration);
     });
+    m_cells.clear();
+    m_serviceSizes.clear();
+    m_zoneSizes.clear();
     for (const auto& [id, entry] : m_registry.entries()) {
         TrackedServer& tracked = m_servers[id];
         tracked.registration = entry.registration;
         tracked.warmupEndsAt = entry.warmupEndsAt;
+        if (entry.registration.draining)
+            continue;
+        ++m_serviceSizes[entry.registration.service];
+        ++m_zoneSizes[{ entry.registration.service, entry.registration.zone }];
     }
 }
 
-std::vector<TrackedServer*> PlacementCoordinator::serversIn(const PlacementCell& cell)
+const std::vector<TrackedServer*>& PlacementCoordinator::serversIn(const PlacementCell& cell)
 {
-    std::vector<TrackedServer*> servers;
-    for (auto& [id, tracked] : m_servers) {
-        const RegisteredServer& server = tracked.registration;
-        if (server.service == cell.service && server.zone == cell.zone && !server.draining && cellIndex(id, cell.count) == cell.index)
-            servers.push_back(&tracked);
+    const auto [position, added] = m_cells.try_emplace(cell);
+    if (added) {
+        for (auto& [id, tracked] : m_servers) {
+            const RegisteredServer& server = tracked.registration;
+            if (server.service == cell.service && server.zone == cell.zone && !server.draining && cellIndex(id, cell.count) == cell.index)
+                position->second.push_back(&tracked);
+        }
     }
-    return servers;
+    return position->second;
 }
 
 // The operators bound the retries of a service; each cell gets the share of its servers.
 RetryBudgetParameters PlacementCoordinator::retryBudgetParameters(const ServiceId& service, std::size_t cellServers) const
 {
-    const auto serviceServers = std::ranges::count_if(m_servers, [&](const auto& tracked) { return tracked.second.registration.service == service && !tracked.second.registration.draining; });
-    return cellRetryBudgetParameters(m_bounds, std::min(1.0, static_cast<double>(cellServers) / static_cast<double>(std::max<std::ptrdiff_t>(serviceServers, 1))));
+    const auto size = m_serviceSizes.find(service);
+    const double serviceServers = size == m_serviceSizes.end() ? 1 : static_cast<double>(size->second);
+    return cellRetryBudgetParameters(m_bounds, std::min(1.0, static_cast<double>(cellServers) / serviceServers));
 }
 
 void PlacementCoordinator::depositRetries(const RegisteredServer& server)
 {
-    const auto zoneServers = std::ranges::count_if(m_servers, [&](const auto& tracked) {
-        return tracked.second.registration.service == server.service && tracked.second.registration.zone == server.zone && !tracked.second.registration.draining;
-    });
-    const std::uint32_t count = cellCount(static_cast<std::size_t>(zoneServers));
+    const auto size = m_zoneSizes.find({ server.service, server.zone });
+    const std::uint32_t count = cellCount(size == m_zoneSizes.end() ? 0 : size->second);
     const PlacementCell cell { server.service, server.zone, cellIndex(server.id, count), count };
     deposit(m_retryBudgets[cell], retryBudgetParameters(cell.service, serversIn(cell).size()), m_clock.now());
 }
@@ -83,23 +92,53 @@
     return std::clamp(delay, internal::minRetryAfter, internal::maxRetryAfter);
 }
 
+// Tells what is believed of the cell from what its servers report, at most once a second.
+void PlacementCoordinator::logRejection(const PlacementCell& cell, std::span<TrackedServer* const> servers, const PlacementDemand& demand)
+{
+    const MonotonicTime now = m_clock.now();
+    MonotonicTime& loggedAt = m_rejectionLoggedAt[cell];
+    if (loggedAt != MonotonicTime {} && now - loggedAt < internal::rejectionLogInterval)
+        return;
+    loggedAt = now;
+    const CellBelief belief = cellBelief(servers, demand, m_processingTimes[cell.service], now);
+    log(Event("placement-no-capacity")
+            .with("service", cell.service)
+            .with("zone", cell.zone)
+            .with("cell", static_cast<long long>(cell.index))
+            .with("servers", static_cast<long long>(servers.size()))
+            .with("slots", belief.slots)
+            .with("in_flight", static_cast<long long>(belief.inFlight))
+            .with("estimated_load", static_cast<long long>(belief.estimatedLoad))
+            .with("reported_load", static_cast<long long>(belief.reportedLoad))
+            .with("suspected", static_cast<long long>(belief.suspected))
+            .with("overloaded", static_cast<long long>(belief.overloaded))
+            .with("excluded", static_cast<long long>(demand.excludedServers.size()))
+            .with("processing_ms", static_cast<long long>(belief.processingTime.count()))
+            .with("left_ms", static_cast<long long>(demand.timeToDeadline.count())));
+}
+
 std::optional<PlacementDecision> PlacementCoordinator::place(const PlacementCell& cell, const PlacementDemand& demand)
 {
-    const std::vector<TrackedServer*> servers = serversIn(cell);
+    const std::vector<TrackedServer*>& servers = serversIn(cell);
     if (servers.empty())
         return std::nullopt;
     const MonotonicTime now = m_clock.now();
+    const std::uint64_t placementId = demand.placementId != 0 ? demand.placementId : m_nextPlacementId++;
+    // The caller has cancelled it meanwhile.
+    if (wasRecorded(m_endedPlacements, placementId))
+        return PlacementDecision { std::nullopt, placementId, 0, internal::minRetryAfter, false, false };
     const RetryBudgetParameters parameters = retryBudgetParameters(cell.service, servers.size());
     CellRetryBudget& retryBudget = m_retryBudgets[cell];
     PlacementDemand budgetedDemand = demand;
     budgetedDemand.canRetry = demand.canRetry && hasReserve(retryBudget, parameters, now);
-    const std::uint64_t placementId = m_nextPlacementId++;
     const ProcessingTimes& processingTimes = m_processingTimes[cell.service];
     // Hashes of successive ids are spread well enough to break ties.
     const double random = static_cast<double>(stableHash(std::to_string(placementId)) >> 11) * 0x1.0p-53;
     const auto chosen = chooseServer(servers, budgetedDemand, processingTimes, now, random);
-    if (!chosen)
+    if (!chosen) {
+        logRejection(cell, servers, demand);
         return PlacementDecision { std::nullopt, 0, 0, retryAfter(servers, demand), false, false };
+    }
     if (shouldWaitForSlot(demand, processingTimes, chosen->loadPerSlot))
         return PlacementDecision { std::nullopt, 0, 0, internal::waitInterval, false, true };
     if (demand.isRetry && !tryWithdraw(retryBudget, parameters, now))
@@ -109,22 +148,37 @@
     return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
 }
 
-void PlacementCoordinator::recordOutcomes(std::span<const PlacementOutcome> outcomes)
+void PlacementCoordinator::cancelPlacement(std::uint64_t placementId)
+{
+    for (auto& [id, tracked] : m_servers)
+        std::erase_if(tracked.inFlightPlacements, [placementId](const InFlightPlacement& placement) { return placement.id == placementId; });
+}
+
+void PlacementCoordinator::recordOutcome(TrackedServer& server, const PlacementOutcome& outcome)
 {
     const MonotonicTime now = m_clock.now();
+    const bool wasSuspected = grayFailureProbability(server.failureEstimate, now) >= internal::loggedProbability;
+    const auto placement = lacewingsail::finishPlacement(server, m_processingTimes[server.registration.service], outcome, now);
+    // A cancelled placement does not count as a request and adds nothing to the retry budget.
+    if (placement && !placement->isRetry && outcome.status != PlacementStatus::Cancelled)
+        depositRetries(server.registration);
+    const double probability = grayFailureProbability(server.failureEstimate, now);
+    if (wasSuspected != (probability >= internal::loggedProbability))
+        log(Event(wasSuspected ? "gray-failure-cleared" : "gray-failure-suspected").with("server", outcome.server).with("probability_percent", static_cast<long long>(probability * 100)).with("load", static_cast<long long>(estimatedLoad(server, now))));
+}
+
+void PlacementCoordinator::recordOutcomes(std::span<const PlacementOutcome> outcomes)
+{
     for (const PlacementOutcome& outcome : outcomes) {
-        const auto found = m_servers.find(outcome.server);
-        if (found == m_servers.end())
+        if (!recordOnce(m_endedPlacements, outcome.placementId, m_clock.now()))
             continue;
-        TrackedServer& server = found->second;
-        const bool wasSuspected = grayFailureProbability(server.failureEstimate, now) >= internal::loggedProbability;
-        const auto placement = lacewingsail::finishPlacement(server, m_processingTimes[server.registration.service], outcome, now);
-        // A cancelled placement does not count as a request and adds nothing to the retry budget.
-        if (placement && !placement->isRetry && outcome.status != PlacementStatus::Cancelled)
-            depositRetries(server.registration);
-        const double probability = grayFailureProbability(server.failureEstimate, now);
-        if (wasSuspected != (probability >= internal::loggedProbability))
-            log(Event(wasSuspected ? "gray-failure-cleared" : "gray-failure-suspected").with("server", outcome.server).with("probability_percent", static_cast<long long>(probability * 100)).with("load", static_cast<long long>(estimatedLoad(server, now))));
+        if (outcome.server.value().empty()) {
+            cancelPlacement(outcome.placementId);
+            continue;
+        }
+        const auto found = m_servers.find(outcome.server);
+        if (found != m_servers.end())
+            recordOutcome(found->second, outcome);
     }
 }
 
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <utility>
+#include <vector>
 
 namespace lacewingsail {
 
@@ -43,20 +45,30 @@
     /// \brief Chooses a server for a request. \returns nothing if no server of the cell is known here.
     std::optional<PlacementDecision> place(const PlacementCell&, const PlacementDemand&);
 
-    /// \brief Records how placed requests ended.
+    /// \brief Records how placed requests ended. An outcome that is received more than once counts once.
     void recordOutcomes(std::span<const PlacementOutcome>);
 
 private:
-    std::vector<TrackedServer*> serversIn(const PlacementCell&);
+    const std::vector<TrackedServer*>& serversIn(const PlacementCell&);
     void depositRetries(const RegisteredServer&);
     RetryBudgetParameters retryBudgetParameters(const ServiceId&, std::size_t cellServers) const;
     std::chrono::milliseconds retryAfter(std::span<TrackedServer* const>, const PlacementDemand&) const;
+    void recordOutcome(TrackedServer&, const PlacementOutcome&);
+    void cancelPlacement(std::uint64_t placementId);
+    void logRejection(const PlacementCell&, std::span<TrackedServer* const>, const PlacementDemand&);
 
     const ServerRegistry& m_registry;
     const GatewayBounds& m_bounds;
     const Clock& m_clock;
     std::uint64_t m_nextPlacementId;
     std::map<BackendServerId, TrackedServer> m_servers;
+    /// The cells that were asked for since the last update.
+    std::map<PlacementCell, std::vector<TrackedServer*>> m_cells;
+    /// Servers that are not draining.
+    std::map<ServiceId, std::size_t> m_serviceSizes;
+    std::map<std::pair<ServiceId, ZoneId>, std::size_t> m_zoneSizes;
+    RecentPlacements m_endedPlacements;
+    std::map<PlacementCell, MonotonicTime> m_rejectionLoggedAt;
     std::map<ServiceId, ProcessingTimes> m_processingTimes;
     std::map<PlacementCell, CellRetryBudget> m_retryBudgets;
 };
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -57,7 +57,7 @@
     StatsAggregator stats { settings.id, settings.zone };
     AccountRateLimiter tokens { directory, active, settings.bounds, clock, random };
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
-    PlacementClient placement { directory, placementCoordinator, loop, clock };
+    PlacementClient placement { directory, placementCoordinator, loop, clock, random() };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
     internal::ResponseBuffers responseBuffers;
     internal::CallerConnections connections;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -192,7 +192,13 @@
     PlacementDemand makePlacementDemand(const RequestServices& services, const RequestState& request)
     {
         const MonotonicTime now = services.clock.now();
-        PlacementDemand demand { request.service, request.excludedServers, request.route->targetLatency, std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now), {}, maxLoadPerSlotFor(request), false, !request.attemptedServers.empty() };
+        PlacementDemand demand;
+        demand.service = request.service;
+        demand.excludedServers = request.excludedServers;
+        demand.latencyObjective = request.route->targetLatency;
+        demand.timeToDeadline = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
+        demand.maxLoadPerSlot = maxLoadPerSlotFor(request);
+        demand.isRetry = !request.attemptedServers.empty();
         for (const BackendStatePtr& state : services.backends.serversForService(request.service)) {
             if (now < state->avoidUntil)
                 demand.excludedServers.push_back(state->registration.id);
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lacewingsail {
 
@@ -60,6 +61,8 @@
     // Random variation of the loss, so that equal servers share the requests.
     constexpr double tieBreakShare = 0.05;
     constexpr std::chrono::milliseconds expiryMargin { 200 };
+    // Callers repeat an outcome that was not acknowledged for less than this.
+    constexpr std::chrono::seconds recentPlacementsPeriod { 10 };
 
     double decayFactor(Seconds elapsed, Seconds halfLife) { return std::exp2(-elapsed / halfLife); }
 
@@ -123,6 +126,7 @@
 
     void recordReportedLoad(TrackedServer& server, double reported, MonotonicTime now)
     {
+        server.reportedLoad = reported;
         const double untracked = reported - static_cast<double>(server.inFlightPlacements.size());
         const double before = server.untrackedLoad * decayFactor(now - server.untrackedLoadUpdatedAt, untrackedLoadHalfLife);
         server.untrackedLoad = before + (untracked - before) * untrackedLoadWeight;
@@ -144,6 +148,32 @@
 
 } // namespace internal
 
+bool recordOnce(RecentPlacements& recent, std::uint64_t placementId, MonotonicTime now)
+{
+    if (now - recent.rotatedAt >= internal::recentPlacementsPeriod) {
+        recent.olderIds = std::exchange(recent.ids, {});
+        recent.rotatedAt = now;
+    }
+    return !wasRecorded(recent, placementId) && recent.ids.insert(placementId).second;
+}
+
+bool wasRecorded(const RecentPlacements& recent, std::uint64_t placementId) { return recent.ids.contains(placementId) || recent.olderIds.contains(placementId); }
+
+CellBelief cellBelief(std::span<TrackedServer* const> servers, const PlacementDemand& demand, const ProcessingTimes& processingTimes, MonotonicTime now)
+{
+    CellBelief belief;
+    belief.processingTime = std::chrono::duration_cast<std::chrono::milliseconds>(internal::processingTime(processingTimes, demand.latencyObjective));
+    for (const TrackedServer* server : servers) {
+        belief.slots += server->registration.slots.value;
+        belief.inFlight += server->inFlightPlacements.size();
+        belief.estimatedLoad += estimatedLoad(*server, now);
+        belief.reportedLoad += server->reportedLoad;
+        belief.suspected += grayFailureProbability(server->failureEstimate, now) >= internal::avoidedProbability ? 1 : 0;
+        belief.overloaded += now < server->overloadedUntil ? 1 : 0;
+    }
+    return belief;
+}
+
 double estimatedLoad(const TrackedServer& server, MonotonicTime now)
 {
     const double untrackedLoad = server.untrackedLoad * internal::decayFactor(now - server.untrackedLoadUpdatedAt, internal::untrackedLoadHalfLife);
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <unordered_set>
 #include <vector>
 
 namespace lacewingsail {
@@ -36,6 +37,8 @@
     /// their outcomes have not arrived.
     double untrackedLoad = 0;
     MonotonicTime untrackedLoadUpdatedAt {};
+    /// As in the last outcome that had it.
+    double reportedLoad = 0;
     GrayFailureEstimate failureEstimate;
     /// Ratio of its time to answer to the usual one, smoothed.
     double latencyRatio = 1;
@@ -53,6 +56,8 @@
 
 /// \brief Requirements of a request that needs a server; sent to the coordinator.
 struct PlacementDemand {
+    /// Id of the placement, unique in the fleet; zero if the coordinator is to choose one.
+    std::uint64_t placementId = 0;
     ServiceId service;
     /// Servers that it may not be sent to: already tried, or unreachable from its host.
     std::vector<BackendServerId> excludedServers;
@@ -83,6 +88,7 @@
 
 /// \brief Outcome of a placed request.
 struct PlacementOutcome {
+    /// Empty if the coordinator's reply was not received.
     BackendServerId server;
     std::uint64_t placementId = 0;
     PlacementStatus status = PlacementStatus::Cancelled;
@@ -101,6 +107,32 @@
     double loadPerSlot = 0;
 };
 
+/// \brief Ids of placements that ended a short time ago.
+struct RecentPlacements {
+    std::unordered_set<std::uint64_t> ids;
+    std::unordered_set<std::uint64_t> olderIds;
+    MonotonicTime rotatedAt {};
+};
+
+/// \brief Records an id for several seconds. \returns false if it is recorded already.
+bool recordOnce(RecentPlacements&, std::uint64_t placementId, MonotonicTime now);
+
+/// \returns whether the id is recorded.
+bool wasRecorded(const RecentPlacements&, std::uint64_t placementId);
+
+/// \brief What a coordinator believes of the servers of a cell, beside what they last reported.
+struct CellBelief {
+    int slots = 0;
+    std::size_t inFlight = 0;
+    double estimatedLoad = 0;
+    double reportedLoad = 0;
+    std::size_t suspected = 0;
+    std::size_t overloaded = 0;
+    std::chrono::milliseconds processingTime { 0 };
+};
+
+CellBelief cellBelief(std::span<TrackedServer* const> servers, const PlacementDemand&, const ProcessingTimes&, MonotonicTime now);
+
 /// \returns the estimated number of requests at the server.
 double estimatedLoad(const TrackedServer&, MonotonicTime now);
 
--- a/packages/policy/lacewingsail/src/Policy/Relays.h
+++ b/packages/policy/lacewingsail/src/Policy/Relays.h
@@ -30,6 +30,10 @@
 /// \returns the first \p maxCount hosts, or all if there are fewer.
 std::vector<const LiveHost*> rankHosts(std::span<const LiveHost> hosts, std::string_view key, std::size_t maxCount);
 
+/// \brief Like \ref rankHosts, but a host with twice the processor cores is first for twice as many keys. Hosts whose cores are not
+/// known count as small ones. Allocates.
+std::vector<const LiveHost*> rankHostsByProcessor(std::span<const LiveHost> hosts, std::string_view key, std::size_t maxCount);
+
 /// \returns the relays of \p zone, in order of preference: hosts with more of a processor first, as a relay serves all hosts of
 /// its zone. Allocates.
 std::vector<const LiveHost*> relaysInZone(std::span<const LiveHost> hosts, const ZoneId& zone);
--- a/tests/AccountLimitFleetTest.cpp
+++ b/tests/AccountLimitFleetTest.cpp
@@ -87,7 +87,7 @@
 
             void exchange(const Endpoint&, std::unique_ptr<protocol::ExchangeRequest>, ExchangeCallback) override { }
             void place(const Endpoint&, const PlacementCell&, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementCallback) override { }
-            void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&) override { }
+            void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&, DeliveryCallback) override { }
             void requestTokens(const Endpoint& endpoint, const TokenDemand& demand, TokenCallback callback) override
             {
                 Member& to = *fleet.m_hosts[endpoint.port - 1U];
--- a/tests/FleetExchangeTest.cpp
+++ b/tests/FleetExchangeTest.cpp
@@ -25,7 +25,7 @@
     void exchange(const Endpoint& target, std::unique_ptr<protocol::ExchangeRequest> request, ExchangeCallback callback) override { exchanges.push_back({ target, std::move(request), std::move(callback) }); }
     void requestTokens(const Endpoint&, const TokenDemand&, TokenCallback) override { }
     void place(const Endpoint&, const PlacementCell&, const PlacementDemand&, const std::vector<PlacementOutcome>&, PlacementCallback) override { }
-    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&) override { }
+    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>&, DeliveryCallback) override { }
 
     std::deque<Exchange> exchanges;
 };
--- a/tests/PlacementCoordinatorTest.cpp
+++ b/tests/PlacementCoordinatorTest.cpp
@@ -18,6 +18,8 @@
             handler();
     }
 
+    bool hasDelayed() const { return !m_delayed.empty(); }
+
 private:
     std::vector<Handler> m_delayed;
 };
@@ -29,7 +31,7 @@
     PlacementCoordinator coordinator { registry, bounds, clock, 100 };
     ManualEventLoop loop;
     FleetDirectory directory { LiveHost { HostId("self"), ZoneId("a"), { "10.0.0.1", 80 } } };
-    PlacementClient client { directory, coordinator, loop, clock };
+    PlacementClient client { directory, coordinator, loop, clock, 1000 };
     PlacementCell cell { ServiceId("desk"), ZoneId("a"), 0, 1 };
     PlacementDemand demand;
     std::uint64_t offset = 1;
@@ -186,3 +188,145 @@
     });
     CHECK(answered);
 }
+
+namespace {
+
+/// \brief Another host that coordinates, behind calls whose messages the test can lose.
+class LossyCalls final : public HostCalls {
+public:
+    explicit LossyCalls(PlacementCoordinator& coordinator)
+        : m_coordinator(coordinator)
+    {
+    }
+
+    void exchange(const Endpoint&, std::unique_ptr<protocol::ExchangeRequest>, ExchangeCallback) override { }
+    void requestTokens(const Endpoint&, const TokenDemand&, TokenCallback) override { }
+
+    void place(const Endpoint&, const PlacementCell& cell, const PlacementDemand& demand, const std::vector<PlacementOutcome>& outcomes, PlacementCallback callback) override
+    {
+        if (!losesRequests)
+            m_coordinator.recordOutcomes(outcomes);
+        const auto decision = losesRequests ? std::nullopt : m_coordinator.place(cell, demand);
+        lastDemand = demand;
+        callback(losesRequests || losesReplies ? PlaceCallResult {} : PlaceCallResult { true, decision });
+    }
+
+    void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>& outcomes, DeliveryCallback callback) override
+    {
+        if (!losesRequests)
+            m_coordinator.recordOutcomes(outcomes);
+        callback(!losesRequests && !losesReplies);
+    }
+
+    bool losesRequests = false;
+    bool losesReplies = false;
+    PlacementDemand lastDemand;
+
+private:
+    PlacementCoordinator& m_coordinator;
+};
+
+struct RemoteCoordinatorFixture : PlacementCoordinatorFixture {
+    PlacementCoordinator remote { registry, bounds, clock, 5000 };
+    LossyCalls calls { remote };
+
+    RemoteCoordinatorFixture()
+    {
+        cell.zone = ZoneId("b");
+        addServer("i-1", "b");
+        remote.update();
+        directory.recordAlive({ HostId("remote"), ZoneId("b"), { "10.0.0.2", 80 }, 0.1 }, clock.now(), clock.now(), false);
+        client.connect(calls);
+    }
+
+    /// Requests that the only server can still take, tried at the remote coordinator itself.
+    int freeCapacity()
+    {
+        std::vector<PlacementOutcome> placed;
+        while (const auto decision = remote.place(cell, demand)) {
+            if (!decision->server)
+                break;
+            placed.push_back({ *decision->server, decision->placementId, PlacementStatus::Cancelled, {}, std::nullopt });
+        }
+        remote.recordOutcomes(placed);
+        return static_cast<int>(placed.size());
+    }
+
+    void placeWithoutReply()
+    {
+        client.place(cell, demand, [](const std::optional<PlacementResponse>& response) { CHECK_FALSE(response); });
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "place, reply is lost, the placement is cancelled at the coordinator")
+{
+    const int capacity = freeCapacity();
+    calls.losesReplies = true;
+    placeWithoutReply();
+    CHECK(freeCapacity() == capacity - 1);
+    calls.losesReplies = false;
+    loop.runDelayed();
+    CHECK(freeCapacity() == capacity);
+}
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "reportOutcome, report is lost, is delivered later")
+{
+    const int capacity = freeCapacity();
+    const auto reservation = place();
+    REQUIRE(reservation);
+    calls.losesRequests = true;
+    finish(*reservation, PlacementStatus::Succeeded);
+    loop.runDelayed();
+    CHECK(freeCapacity() == capacity - 1);
+    calls.losesRequests = false;
+    loop.runDelayed();
+    loop.runDelayed();
+    CHECK(freeCapacity() == capacity);
+}
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "reportOutcome, coordinator stays silent, gives up after some seconds")
+{
+    const auto reservation = place();
+    REQUIRE(reservation);
+    calls.losesRequests = true;
+    finish(*reservation, PlacementStatus::Succeeded);
+    for (int step = 0; step < 40; ++step) {
+        loop.runDelayed();
+        clock.advance(250ms);
+    }
+    calls.losesRequests = false;
+    demand.timeToDeadline = 60s;
+    CHECK_FALSE(loop.hasDelayed());
+}
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "recordOutcomes, acknowledgement is lost and the outcome arrives twice, counts once")
+{
+    demand.canRetry = true;
+    for (int request = 0; request < 2; ++request) {
+        const auto reservation = place();
+        REQUIRE(reservation);
+        calls.losesReplies = request == 1;
+        finish(*reservation, request == 0 ? PlacementStatus::Succeeded : PlacementStatus::Failed);
+        loop.runDelayed();
+    }
+    const double lossBefore = remote.place(cell, demand)->expectedLoss;
+    clock.advance(250ms);
+    loop.runDelayed();
+    loop.runDelayed();
+    CHECK(remote.place(cell, demand)->expectedLoss <= lossBefore);
+}
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "place, arrives after its cancellation, places nothing")
+{
+    const int capacity = freeCapacity();
+    calls.losesRequests = true;
+    placeWithoutReply();
+    calls.losesRequests = false;
+    loop.runDelayed();
+    const auto decision = remote.place(cell, calls.lastDemand);
+    REQUIRE(decision);
+    CHECK_FALSE(decision->server);
+    CHECK(freeCapacity() == capacity);
+}
--- a/tests/RelaysTest.cpp
+++ b/tests/RelaysTest.cpp
@@ -55,3 +55,30 @@
     CHECK(rankHosts(hosts, "account", 50).size() == hosts.size());
     CHECK(rankHosts({}, "account", 2).empty());
 }
+
+TEST_CASE("rankHostsByProcessor, hosts of unlike size, are first in proportion to their processors")
+{
+    std::vector<LiveHost> hosts;
+    for (int index = 0; index < 10; ++index)
+        hosts.push_back({ HostId("h" + std::to_string(index)), ZoneId("a"), {}, index < 2 ? 0.5 : 0.1 });
+    int large = 0;
+    constexpr int keys = 3000;
+    for (int key = 0; key < keys; ++key)
+        large += rankHostsByProcessor(hosts, std::to_string(key), 1).front()->processorShare > 0.2 ? 1 : 0;
+    // Two hosts of 0.5 cores beside eight of 0.1.
+    CHECK(large > keys * 10 / 18 * 0.93);
+    CHECK(large < keys * 10 / 18 * 1.07);
+}
+
+TEST_CASE("rankHostsByProcessor, a host is lost, keeps the other keys' hosts")
+{
+    std::vector<LiveHost> hosts;
+    for (int index = 0; index < 10; ++index)
+        hosts.push_back({ HostId("h" + std::to_string(index)), ZoneId("a"), {}, 0.1 * (1 + index % 3) });
+    std::vector<LiveHost> remaining(hosts.begin() + 1, hosts.end());
+    for (int key = 0; key < 300; ++key) {
+        const HostId first = rankHostsByProcessor(hosts, std::to_string(key), 1).front()->id;
+        if (first != hosts.front().id)
+            CHECK(rankHostsByProcessor(remaining, std::to_string(key), 1).front()->id == first);
+    }
+}
