Statements of backend servers in their responses are followed

Change: a statement to leave takes the server's incarnation out of use at this host at once, whatever the store lists; the outcome tells the coordinator, which excludes it for all hosts. Its successor under the same id or address is not affected: the coordinator takes the statement only with the placement that it belongs to. A Retry-After of 503 takes the server out of use at this host for that time, at most 60 s; what is not a number of seconds is logged and ignored. Other hosts are not told: the server asked this one. If all servers of a service refuse, the request is rejected at once with the time until the first accepts again. Responses of another server at the address (421) say nothing about this one.

Cells get requests in proportion to their servers (they were chosen evenly, though hashing makes them differ in size).

--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -206,6 +206,7 @@
     message.set_took_ms(milliseconds(outcome.duration));
     if (outcome.reportedLoad)
         message.set_reported_load(toHundredths(*outcome.reportedLoad));
+    message.set_server_leaving(outcome.serverLeaving);
 }
 
 PlacementOutcome decode(const protocol::PlacementOutcome& message)
@@ -217,6 +218,7 @@
     }
     if (message.has_reported_load())
         outcome.reportedLoad = message.reported_load() / hundredths;
+    outcome.serverLeaving = message.server_leaving();
     return outcome;
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -203,12 +203,34 @@
         return connection.reused || (!id.empty() && id != request.id);
     }
 
-    net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(const RequestServices& services, const RequestState& request, BackendConnection& connection, boost::system::error_code& error)
+    // What a server says of itself holds whichever request the response belongs to, unless another server has its address.
+    void recordStatements(RequestServices& services, const RequestState& request, BackendState& server, const ResponseMessage& response)
+    {
+        if (response.result_int() == misdirectedStatus)
+            return;
+        if (response[services.headerNames.leaving] == "1" && !server.leaving) {
+            services.backends.recordLeaving(server);
+            log(Event("server-leaving").with("request", request.id).with("server", server.registration.id));
+        }
+        const auto retryAfter = response[http::field::retry_after];
+        if (response.result() != http::status::service_unavailable || retryAfter.empty())
+            return;
+        const auto period = parseRefusalPeriod({ retryAfter.data(), retryAfter.size() });
+        if (!period) {
+            log(Event("retry-after-malformed").with("server", server.registration.id).with("value", std::string_view(retryAfter.data(), retryAfter.size())));
+            return;
+        }
+        server.refusesUntil = std::max(server.refusesUntil, services.clock.now() + *period);
+        log(Event("server-refuses").with("request", request.id).with("server", server.registration.id).with("period_ms", static_cast<long long>(period->count())));
+    }
+
+    net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
             if (error || !complete)
                 co_return complete;
+            recordStatements(services, request, server, complete->message);
             if (!isStale(services.headerNames, request, connection, complete->message)) {
                 // After a late response a further one may follow.
                 complete->keepsConnection = complete->keepsConnection && stale == 0;
@@ -353,8 +375,8 @@
         }
         co_return report;
     }
-    // While the connection was being opened, the server may have started to drain or the request may have been cancelled.
-    if (!server->acceptsRequests || request->cancelled)
+    // Meanwhile the server may have started to drain or to refuse requests, or the request may have been cancelled.
+    if (!server->acceptsRequests || services.clock.now() < server->refusesUntil || request->cancelled)
         co_return AttemptReport { AttemptStatus::NotSent, ResultCode::NoBackendServer, {}, {} };
     request->cancelAttempt = [weak = std::weak_ptr(connection)] {
         if (const auto locked = weak.lock())
@@ -370,7 +392,7 @@
     http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
     StallWatch watch(services, connection, std::move(stallPolicy));
     boost::system::error_code error;
-    auto complete = co_await readMatchingResponse(services, *request, *connection, error);
+    auto complete = co_await readMatchingResponse(services, *request, *server, *connection, error);
     request->cancelAttempt = nullptr;
     if (error || !complete) {
         connection->stream.close();
@@ -384,6 +406,7 @@
     else
         connection->stream.close();
     AttemptReport report = reportResponse(services, *request, *server, std::move(complete->message), startedAt);
+    report.outcome.serverLeaving = server->leaving;
     if (report.status == AttemptStatus::NotRun)
         --request->possibleExecutions;
     co_return report;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -1,6 +1,8 @@
 #include "BackendTable.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace lacewingsail::internal {
 
@@ -44,6 +46,7 @@
 {
     std::map<BackendServerId, BackendStatePtr> servers;
     m_services.clear();
+    m_leaving.clear();
     for (const auto& [id, entry] : registry.entries()) {
         const auto previous = m_servers.find(id);
         BackendStatePtr state;
@@ -57,9 +60,11 @@
         }
         state->registration = entry.registration;
         state->warmupEndsAt = entry.warmupEndsAt;
-        state->acceptsRequests = !entry.registration.draining;
+        state->acceptsRequests = !entry.registration.draining && !state->leaving;
         if (state->acceptsRequests)
             m_services[entry.registration.service].push_back(state);
+        if (state->leaving)
+            m_leaving[entry.registration.service].push_back(id);
         servers.emplace(id, std::move(state));
     }
     for (const auto& [id, state] : m_servers) {
@@ -86,6 +91,34 @@
     return found == m_services.end() ? none : found->second;
 }
 
+const std::vector<BackendServerId>& BackendTable::leavingServers(const ServiceId& service) const
+{
+    static const std::vector<BackendServerId> none;
+    const auto found = m_leaving.find(service);
+    return found == m_leaving.end() ? none : found->second;
+}
+
+Duration BackendTable::timeToAcceptance(const ServiceId& service) const
+{
+    const MonotonicTime now = m_clock.now();
+    std::optional<MonotonicTime> earliest;
+    for (const BackendStatePtr& state : serversForService(service))
+        earliest = std::min(earliest.value_or(state->refusesUntil), state->refusesUntil);
+    return earliest && *earliest > now ? *earliest - now : Duration::zero();
+}
+
+void BackendTable::recordLeaving(BackendState& state)
+{
+    if (std::exchange(state.leaving, true))
+        return;
+    state.acceptsRequests = false;
+    state.idleConnections.clear();
+    // The state may be that of an earlier incarnation, which the table no longer holds.
+    const bool current = std::erase_if(m_services[state.registration.service], [&](const BackendStatePtr& known) { return known.get() == &state; }) > 0;
+    if (current)
+        m_leaving[state.registration.service].push_back(state.registration.id);
+}
+
 BackendStatePtr BackendTable::find(const BackendServerId& id) const
 {
     const auto found = m_servers.find(id);
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -36,8 +36,12 @@
 struct BackendState {
     RegisteredServer registration;
     MonotonicTime warmupEndsAt {};
-    /// Whether new requests may be sent to it: it is registered and not draining.
+    /// Whether new requests may be sent to it: it is registered, not draining and has not stated that it leaves.
     bool acceptsRequests = true;
+    /// This incarnation stated that it is about to leave.
+    bool leaving = false;
+    /// Gets no requests of this host until then, as it asked for when it refused one.
+    MonotonicTime refusesUntil {};
     /// Requests of this host; the counts decay exponentially.
     ServerStats localStats;
     MonotonicTime decayedAt {};
@@ -78,6 +82,16 @@
     /// \returns the server with this id, or null if it does not accept new requests.
     BackendStatePtr find(const BackendServerId&) const;
 
+    /// \returns the servers of a service that are registered but have stated that they leave.
+    const std::vector<BackendServerId>& leavingServers(const ServiceId&) const;
+
+    /// \returns the time after which one of the servers of a service accepts requests of this host; zero if one accepts them now or
+    /// there is none.
+    Duration timeToAcceptance(const ServiceId&) const;
+
+    /// \brief Records that a server stated that it is about to leave: it gets no new requests.
+    void recordLeaving(BackendState&);
+
     /// \returns the number, slots and load of a service's servers in each availability zone. Allocates.
     std::vector<ZoneCapacity> zoneCapacities(const ServiceId&) const;
 
@@ -97,6 +111,7 @@
     const Clock& m_clock;
     std::map<BackendServerId, BackendStatePtr> m_servers;
     std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
+    std::map<ServiceId, std::vector<BackendServerId>> m_leaving;
 };
 
 /// \brief Removes and returns an idle connection that is still open, has no unread data and was used less than
--- a/packages/gateway/lacewingsail/src/Gateway/HeaderNames.h
+++ b/packages/gateway/lacewingsail/src/Gateway/HeaderNames.h
@@ -33,6 +33,8 @@
     std::string load;
     /// Present if the backend server did not run the request.
     std::string notRun;
+    /// Present with the value 1 if the backend server is about to leave and wants no new requests.
+    std::string leaving;
     /// Authorization scheme under which callers present their keys.
     std::string keyScheme;
     std::function<std::optional<ReportedLoad>(std::string_view)> parseLoad;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -132,6 +132,7 @@
         candidate.warmingUp = now < state.warmupEndsAt;
         candidate.suspected = grayFailureProbability(state.failureEstimate, now) >= suspicionThreshold;
         candidate.unreachable = now < state.avoidUntil;
+        candidate.refusing = now < state.refusesUntil;
         candidate.overloaded = now < state.overloadedUntil;
         candidate.alreadyTried = std::ranges::find(request.excludedServers, state.registration.id) != request.excludedServers.end();
         return candidate;
@@ -200,9 +201,11 @@
         demand.maxLoadPerSlot = maxLoadPerSlotFor(request);
         demand.isRetry = !request.attemptedServers.empty();
         for (const BackendStatePtr& state : services.backends.serversForService(request.service)) {
-            if (now < state->avoidUntil)
+            if (now < state->avoidUntil || now < state->refusesUntil)
                 demand.excludedServers.push_back(state->registration.id);
         }
+        const auto& leaving = services.backends.leavingServers(request.service);
+        demand.excludedServers.insert(demand.excludedServers.end(), leaving.begin(), leaving.end());
         demand.canRetry = request.route->repeatable && request.possibleExecutions + 1 < request.route->mostAttempts;
         demand.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - request.arrivedAt);
         return demand;
@@ -219,10 +222,16 @@
         co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(std::optional<PlacementResponse>)>(initiate, net::use_awaitable);
     }
 
-    PlacementCell randomCell(const ServiceId& service, const ZoneCapacity& capacity, std::uint64_t random)
+    // The cell of a random server of the zone: cells differ in size, and get requests in proportion to their servers.
+    PlacementCell randomCell(const RequestServices& services, const ServiceId& service, const ZoneCapacity& capacity, std::uint64_t random)
     {
         const std::uint32_t count = cellCount(capacity.serverCount);
-        return { service, capacity.zone, static_cast<std::uint32_t>(random % count), count };
+        std::size_t position = random % std::max<std::size_t>(capacity.serverCount, 1);
+        for (const BackendStatePtr& state : services.backends.serversForService(service)) {
+            if (state->registration.zone == capacity.zone && position-- == 0)
+                return { service, capacity.zone, cellIndex(state->registration.id, count), count };
+        }
+        return { service, capacity.zone, 0, count };
     }
 
     void cancelReservation(RequestServices& services, const ServerChoice& choice)
@@ -267,7 +276,7 @@
         ServerChoice choice;
         bool answered = false;
         for (int asked = 0; zone && asked < maxZonesAsked; ++asked) {
-            const auto reply = co_await askCoordinator(services, randomCell(request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
+            const auto reply = co_await askCoordinator(services, randomCell(services, request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
             answered = answered || reply;
             if (reply)
                 keepBetterOffer(services, choice, *reply);
@@ -281,6 +290,11 @@
         co_return usable ? choice : chooseWithoutCoordinator(services, *request);
     }
 
+    std::chrono::milliseconds timeToAcceptance(const RequestServices& services, const ServiceId& service)
+    {
+        return std::chrono::ceil<std::chrono::milliseconds>(services.backends.timeToAcceptance(service));
+    }
+
     bool isFinal(const RequestState& request, const AttemptReport& report)
     {
         if (report.status == AttemptStatus::Answered)
@@ -373,6 +387,7 @@
                 continue;
             }
             if (!choice.server) {
+                retryAfter = std::max(retryAfter, timeToAcceptance(services, request->service));
                 logNotRepeated(*request, choice.retryBudgetExhausted ? "retry-allowance-used" : "no-room");
                 break;
             }
@@ -441,6 +456,8 @@
     request->service = chooseService(*request->route, services.random());
     if (services.backends.serversForService(request->service).empty())
         co_return failRequest(services, *request, ResultCode::NoBackendServer, jitteredDelay(services, minRetryDelay));
+    if (const auto delay = timeToAcceptance(services, request->service); delay.count() > 0)
+        co_return failRequest(services, *request, ResultCode::Overloaded, jitteredDelay(services, delay));
     if (request->account && request->account->rate.value > 0) {
         const TokenGrant grant = co_await acquireToken(services, *request->account);
         if (grant.granted == 0)
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -37,6 +37,7 @@
 #include "src/Policy/Relays.h"
 #include "src/Policy/RetryBudget.h"
 #include "src/Policy/RouteTable.h"
+#include "src/Policy/ServerRefusal.h"
 #include "src/Policy/ServerStats.h"
 #include "src/Policy/Slice.h"
 #include "src/Policy/SliceBucket.h"
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -96,7 +96,7 @@
 
     bool isExcluded(const TrackedServer& server, const PlacementDemand& demand, MonotonicTime now)
     {
-        return now < server.overloadedUntil || std::ranges::find(demand.excludedServers, server.registration.id) != demand.excludedServers.end();
+        return server.leaving || now < server.overloadedUntil || std::ranges::find(demand.excludedServers, server.registration.id) != demand.excludedServers.end();
     }
 
     bool isProbeDue(const TrackedServer& server, const PlacementDemand& demand, double probability, MonotonicTime now)
@@ -234,6 +234,8 @@
     const auto placed = found != server.inFlightPlacements.end() ? std::optional(*found) : std::nullopt;
     if (placed)
         server.inFlightPlacements.erase(found);
+    // Without its placement an outcome may be that of an earlier incarnation.
+    server.leaving = server.leaving || (placed && outcome.serverLeaving);
     if (outcome.reportedLoad)
         internal::recordReportedLoad(server, *outcome.reportedLoad, now);
     switch (outcome.status) {
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -48,6 +48,8 @@
     /// When a request was last placed on it.
     MonotonicTime lastPlacedAt {};
     bool hasAnswered = false;
+    /// This incarnation stated that it is about to leave; it gets no further requests.
+    bool leaving = false;
 };
 
 /// \brief Usual processing times of a service's requests, without queueing, by latency objective. Moving averages of what was
@@ -95,6 +97,8 @@
     std::chrono::milliseconds duration { 0 };
     /// Number of requests that the server reported, without this one; empty if it reported none.
     std::optional<double> reportedLoad;
+    /// The server stated that it is about to leave.
+    bool serverLeaving = false;
 };
 
 /// \brief The server chosen for a request.
--- a/packages/policy/lacewingsail/src/Policy/LocalPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/LocalPlacement.h
@@ -27,6 +27,8 @@
     bool unreachable = false;
     /// It recently refused a request as overloaded.
     bool overloaded = false;
+    /// It asked this host to send nothing for a while.
+    bool refusing = false;
     bool alreadyTried = false;
 };
 
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -217,6 +217,7 @@
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.behaviour = "good"
         self.state = "ready"
+        self.born = 1700000000000
         self.hanging_paths = set()
         self.slow_paths = {}
         self.executions = []
@@ -232,7 +233,7 @@
     def register(self):
         self.heartbeats += 1
         entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
-                 "state": self.state, "warmupLeftS": 0, "sequence": self.heartbeats, "born": 1700000000000}
+                 "state": self.state, "warmupLeftS": 0, "sequence": self.heartbeats, "born": self.born}
         self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
 
     def _send_heartbeats(self):
--- a/tests/CoordinatedPlacementTest.cpp
+++ b/tests/CoordinatedPlacementTest.cpp
@@ -258,3 +258,26 @@
     demand.latencyObjective = 1000ms;
     CHECK_FALSE(shouldWaitForSlot(demand, processingTimes, 1.5));
 }
+
+TEST_CASE_FIXTURE(CoordinatedPlacementFixture, "finishPlacement, server stated that it leaves, gets no further requests")
+{
+    const std::uint64_t placementId = placeOn(0);
+    finishPlacement(servers[0], processingTimes, { servers[0].registration.id, placementId, PlacementStatus::Succeeded, 380ms, std::nullopt, true }, clock.now());
+    for (std::size_t index = 1; index < servers.size(); ++index)
+        placeMany(index, 5);
+    REQUIRE(choose());
+    CHECK(choose()->serverIndex != 0);
+    clock.advance(10s);
+    demand.canRetry = true;
+    REQUIRE(choose());
+    CHECK(choose()->serverIndex != 0);
+}
+
+TEST_CASE_FIXTURE(CoordinatedPlacementFixture, "finishPlacement, an earlier incarnation stated that it leaves, the present one is used")
+{
+    finishPlacement(servers[0], processingTimes, { servers[0].registration.id, 77, PlacementStatus::Succeeded, 380ms, std::nullopt, true }, clock.now());
+    for (std::size_t index = 1; index < servers.size(); ++index)
+        placeMany(index, 5);
+    REQUIRE(choose());
+    CHECK(choose()->serverIndex == 0);
+}
