Cancelled placements are built in a way that GCC 12 accepts at -O3

The deploy file's build failed with a warning of an uninitialized string in a temporary (maybe-uninitialized); the release preset does not show it.

--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -117,7 +117,10 @@
             m_avoidUntil[coordinator.id] = m_clock.now() + internal::coordinatorAvoidancePeriod;
             log(Event("placement-coordinator-timeout").with("host", coordinator.id));
             // The coordinator may have placed the request, and recorded the outcomes or not.
-            outcomes.push_back({ { {}, placementId, PlacementStatus::Cancelled, {}, std::nullopt }, m_clock.now() + internal::outcomeRetention });
+            PendingOutcome cancellation;
+            cancellation.outcome.placementId = placementId;
+            cancellation.discardAt = m_clock.now() + internal::outcomeRetention;
+            outcomes.push_back(std::move(cancellation));
             addUnsentOutcomes(coordinator, std::move(outcomes));
         }
         respond(result.reply);
@@ -130,7 +133,10 @@
     outcome.placementId = reservation.placementId;
     if (reservation.coordinator.id == m_directory.self().id)
         return m_coordinator.recordOutcomes(std::span(&outcome, 1));
-    addUnsentOutcomes(reservation.coordinator, { { std::move(outcome), m_clock.now() + internal::outcomeRetention } });
+    PendingOutcome pending { std::move(outcome), m_clock.now() + internal::outcomeRetention };
+    std::vector<PendingOutcome> outcomes;
+    outcomes.push_back(std::move(pending));
+    addUnsentOutcomes(reservation.coordinator, std::move(outcomes));
 }
 
 void PlacementClient::flush()
