Bodies of requests count towards the memory limit of messages

A host read each body whole before it chose a server, with a limit for each alone: many callers that upload at once, or stall, took the host over its memory.

Change: request bodies share the limit that response bodies have (32 MB; each above an equal part of it fails once all exceed it). A body beyond it is refused with 503 before the request is sent anywhere. A caller that stalls holds memory, not a slot of a server, and no longer than the body's time-out. Bodies are still buffered, not streamed.

Test: request_bodies_test, 240 callers that stall one byte before the end of 1 MB each.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -154,9 +154,9 @@
     };
 
     // Reads step by step, as the memory for all responses together is limited.
-    net::awaitable<void> readWithin(ResponseBuffers& buffers, BackendConnection& connection, ResponseParser& parser, boost::system::error_code& error)
+    net::awaitable<void> readWithin(MessageBuffers& buffers, BackendConnection& connection, ResponseParser& parser, boost::system::error_code& error)
     {
-        ResponseBuffers::Reservation reservation(buffers);
+        MessageBuffers::Reservation reservation(buffers);
         parser.eager(true);
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
@@ -166,12 +166,12 @@
     }
 
     // Skips interim (1xx) responses.
-    net::awaitable<std::optional<CompleteResponse>> readResponse(ResponseBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
     {
         for (int interim = 0; interim <= maxInterimResponses; ++interim) {
             ResponseParser parser;
             parser.header_limit(maxResponseHeaderBytes);
-            parser.body_limit(ResponseBuffers::maxBytes);
+            parser.body_limit(MessageBuffers::maxBytes);
             parser.skip(method == http::verb::head);
             co_await readWithin(buffers, connection, parser, error);
             if (error)
@@ -227,7 +227,7 @@
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
-            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
+            auto complete = co_await readResponse(services.messageBuffers, connection, request.message.method(), error);
             if (error || !complete)
                 co_return complete;
             recordStatements(services, request, server, complete->message);
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -32,6 +32,8 @@
             return ResultCode::HeaderTooLarge;
         if (error == http::error::body_limit)
             return ResultCode::BodyTooLarge;
+        if (error == http::error::buffer_overflow)
+            return ResultCode::Overloaded;
         return ResultCode::MalformedRequest;
     }
 
@@ -40,6 +42,17 @@
         return error == http::error::end_of_stream || error == http::error::partial_message || error.category() == net::error::get_system_category() || error.category() == net::error::get_misc_category();
     }
 
+    // Reads step by step, as the memory for all messages together is limited.
+    net::awaitable<void> readBody(net::ip::tcp::socket& socket, beast::flat_buffer& buffer, RequestParser& parser, MessageBuffers::Reservation& memory, boost::system::error_code& error)
+    {
+        parser.eager(true);
+        while (!parser.is_done() && !error) {
+            co_await http::async_read_some(socket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+            if (!error && !memory.resize(parser.get().body().size()))
+                error = http::error::buffer_overflow;
+        }
+    }
+
 } // namespace
 
 CallerConnection::CallerConnection(RequestServices& services, CallerConnections& connections, net::ip::tcp::socket socket)
@@ -168,9 +181,11 @@
         static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await net::async_write(m_socket, net::buffer(continueResponse), net::redirect_error(net::use_awaitable, error));
     }
+    std::shared_ptr<MessageBuffers::Reservation> bodyMemory;
     if (!error && !parser.is_done()) {
         startTimer(bodyTimeout);
-        co_await http::async_read(m_socket, m_buffer, parser, net::redirect_error(net::use_awaitable, error));
+        bodyMemory = std::make_shared<MessageBuffers::Reservation>(m_services.messageBuffers);
+        co_await readBody(m_socket, m_buffer, parser, *bodyMemory, error);
     }
     m_timer.cancel();
     if (error && isConnectionEnd(error)) {
@@ -183,7 +198,7 @@
         rejectRequest(resultCodeFor(error));
         co_return false;
     }
-    enqueueRequest(parser.release());
+    enqueueRequest(parser.release(), std::move(bodyMemory));
     co_return true;
 }
 
@@ -200,7 +215,7 @@
     return true;
 }
 
-void CallerConnection::enqueueRequest(RequestMessage message)
+void CallerConnection::enqueueRequest(RequestMessage message, std::shared_ptr<MessageBuffers::Reservation> bodyMemory)
 {
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::make_shared<RequestState>();
@@ -208,6 +223,7 @@
     const auto id = message[m_services.headerNames.requestId];
     pending->request->id.assign(id.data(), id.size());
     pending->request->message = std::move(message);
+    pending->request->bodyMemory = std::move(bodyMemory);
     pending->request->arrivedAt = m_services.clock.now();
     m_closing = m_closing || pending->closesConnection;
     m_pending.push_back(pending);
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -50,7 +50,7 @@
     net::awaitable<bool> waitForData();
     net::awaitable<void> handleRequest(PendingRequestPtr);
     bool closesBeforeNextRequest();
-    void enqueueRequest(RequestMessage);
+    void enqueueRequest(RequestMessage, std::shared_ptr<MessageBuffers::Reservation> bodyMemory);
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode);
     void writeNextResponse();
--- a/packages/gateway/lacewingsail/src/Gateway/MessageBuffers.h
+++ b/packages/gateway/lacewingsail/src/Gateway/MessageBuffers.h
@@ -4,47 +4,47 @@
 
 namespace lacewingsail::internal {
 
-/// \brief Limits the memory for responses of backend servers that are being read.
+/// \brief Limits the memory for bodies of responses that are being read, and of requests until their end.
 ///
-/// Once all together exceed the limit, each one above an equal part of it fails: a server that sends without end takes the
-/// memory of its own response only.
-class ResponseBuffers {
+/// Once all together exceed the limit, each one above an equal part of it fails: a server or caller that sends without end takes
+/// the memory of its own message only.
+class MessageBuffers {
 public:
     /// A fifth of the memory of the smallest hosts; a growing buffer takes up to three times its content.
     static constexpr std::size_t maxBytes = 32 * 1024 * 1024;
 
-    /// \brief Memory of one response for the lifetime of the object.
+    /// \brief Memory of one message for the lifetime of the object.
     class Reservation {
     public:
-        explicit Reservation(ResponseBuffers& buffers)
+        explicit Reservation(MessageBuffers& buffers)
             : m_buffers(buffers)
         {
-            ++m_buffers.m_responses;
+            ++m_buffers.m_messages;
         }
         ~Reservation()
         {
-            --m_buffers.m_responses;
+            --m_buffers.m_messages;
             m_buffers.m_bytes -= m_bytes;
         }
         Reservation(const Reservation&) = delete;
         Reservation& operator=(const Reservation&) = delete;
 
-        /// \brief Records the present size. \returns whether the response may continue.
+        /// \brief Records the present size. \returns whether the message may continue.
         [[nodiscard]] bool resize(std::size_t bytes)
         {
             m_buffers.m_bytes += bytes - m_bytes;
             m_bytes = bytes;
-            return m_buffers.m_bytes <= maxBytes || m_bytes <= maxBytes / m_buffers.m_responses;
+            return m_buffers.m_bytes <= maxBytes || m_bytes <= maxBytes / m_buffers.m_messages;
         }
 
     private:
-        ResponseBuffers& m_buffers;
+        MessageBuffers& m_buffers;
         std::size_t m_bytes = 0;
     };
 
 private:
     std::size_t m_bytes = 0;
-    std::size_t m_responses = 0;
+    std::size_t m_messages = 0;
 };
 
 } // namespace lacewingsail::internal
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -2,7 +2,7 @@
 
 #include "Asio.h"
 #include "BackendTable.h"
-#include "ResponseBuffers.h"
+#include "MessageBuffers.h"
 
 #include <lacewingsail/Gateway.h>
 #include <lacewingsail/Observe.h>
@@ -30,7 +30,7 @@
     AccountRateLimiter& tokens;
     PlacementClient& placement;
     BackendTable& backends;
-    ResponseBuffers& responseBuffers;
+    MessageBuffers& messageBuffers;
     Metrics& metrics;
     std::mt19937_64& random;
     const std::optional<PlannedStop>& plannedStop;
@@ -39,6 +39,8 @@
 /// \brief A request from its arrival until its response.
 struct RequestState {
     RequestMessage message;
+    /// Null if it has no body.
+    std::shared_ptr<MessageBuffers::Reservation> bodyMemory;
     std::string id;
     MonotonicTime arrivedAt {};
     /// The earlier one of the caller's and the route's deadline, less a margin for the delivery of the response.
--- /dev/null
+++ b/tests/request_bodies_test.py
@@ -0,0 +1,84 @@
+#!/usr/bin/env python3
+"""Gateway hosts with callers whose request bodies together exceed the memory of a host."""
+
+import os
+import select
+import socket
+import sys
+import time
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from fleet.gateway_fixture import check, run_cases, send_request
+from fleet.platform_standins import host_and_port
+
+BODY_BYTES = 1 << 20
+# Together more than the smallest hosts have.
+CALLERS = 240
+HOST_MEMORY_BYTES = 160 << 20
+
+
+def start_upload(endpoint, number, body):
+    connection = socket.create_connection(host_and_port(endpoint), timeout=10)
+    head = f"POST /book/upload HTTP/1.1\r\nHost: clubs.example\r\nAttempt-Id: upload-{number}\r\nDeadline-Ms: 20000\r\nAuthorization: Token key-n\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    try:
+        connection.sendall(head.encode() + body)
+    except OSError:
+        # Refused before all of it was sent.
+        pass
+    return connection
+
+
+def peak_bytes(host):
+    with open(f"/proc/{host.process.child.pid}/status", encoding="utf-8") as file:
+        return next(int(line.split()[1]) << 10 for line in file if line.startswith("VmHWM:"))
+
+
+def received_status(connection):
+    if not select.select([connection], [], [], 0)[0]:
+        return None
+    try:
+        line = connection.recv(64)
+    except OSError:
+        return "reset"
+    return int(line.split()[1]) if line.startswith(b"HTTP/1.1 ") else "closed"
+
+
+def uploads_beyond_the_memory_are_refused_as_not_run(fixture):
+    host = fixture.hosts[0]
+    uploads = [start_upload(host.callers, number, bytes(BODY_BYTES - 1)) for number in range(CALLERS)]
+    time.sleep(1)
+    statuses = [received_status(upload) for upload in uploads]
+    counts = {status: statuses.count(status) for status in set(statuses)}
+    print(f"peak {peak_bytes(host) >> 20} MB, {counts}", flush=True)
+    check(host.process.alive() and peak_bytes(host) < HOST_MEMORY_BYTES, f"peak {peak_bytes(host) >> 20} MB")
+    check(counts.get(503, 0) > 0 and set(counts) <= {503, None}, f"{counts}")
+    # Uploads that have not ended hold no slot of a server.
+    response = send_request(host.callers, "POST", "/book/1", body=b"1234")
+    check(response.status == 200 and response.body.endswith(b"1234"), f"status {response.status}")
+    for number, (upload, status) in enumerate(zip(uploads, statuses)):
+        if status is None:
+            upload.sendall(b"x")
+            upload.settimeout(10)
+            check(upload.recv(64).startswith(b"HTTP/1.1 200"), f"upload {number} was taken and not served")
+        else:
+            check(not fixture.executions(f"upload-{number}"), f"upload {number} was refused and has run")
+        upload.close()
+
+
+def memory_of_ended_uploads_is_available_again(fixture):
+    host = fixture.hosts[0]
+    for number in range(40):
+        response = send_request(host.callers, "POST", "/book/1", body=bytes(BODY_BYTES))
+        check(response.status == 200, f"upload {number} after the others: status {response.status}")
+    check(peak_bytes(host) < HOST_MEMORY_BYTES, f"peak {peak_bytes(host) >> 20} MB")
+
+
+CASES = [
+    uploads_beyond_the_memory_are_refused_as_not_run,
+    memory_of_ended_uploads_is_available_again,
+]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
