Leases and permissions run out while a machine is suspended

Reported to the users by operators of similar systems: a process that had been paused acted on a permission that had run out. A coordinator of an account that is suspended for longer than the takeover delay woke as its coordinator, beside its successor.

Change: SystemClock follows the clock that counts suspensions. Timers of connections are set relative to it, as they run on the steady clock. All clocks of a process agree.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -55,7 +55,7 @@
         {
             if (!stallPolicy.onStall)
                 return;
-            m_timer.expires_at(stallPolicy.stallDeadline);
+            m_timer.expires_after(stallPolicy.stallDeadline - services.clock.now());
             m_timer.async_wait([weak = std::weak_ptr(connection), state = m_state, onStall = std::move(stallPolicy.onStall)](const boost::system::error_code& error) {
                 if (error)
                     return;
@@ -97,7 +97,7 @@
     net::awaitable<BackendConnectionPtr> connect(RequestServices& services, RequestState& request, BackendState& server, MonotonicTime deadline)
     {
         auto connection = std::make_shared<BackendConnection>(services.context);
-        connection->stream.expires_at(std::min(deadline, services.clock.now() + connectTimeout));
+        connection->stream.expires_after(std::min<Duration>(deadline - services.clock.now(), connectTimeout));
         request.cancelAttempt = [weak = std::weak_ptr(connection)] {
             if (const auto locked = weak.lock())
                 locked->stream.cancel();
@@ -383,7 +383,7 @@
             locked->stream.cancel();
     };
     const MonotonicTime startedAt = services.clock.now();
-    connection->stream.expires_at(deadline);
+    connection->stream.expires_after(deadline - startedAt);
     request->attemptedServers.push_back(server->registration.id);
     ++request->possibleExecutions;
     // Writes and reads concurrently, as a server may respond before it has read a long body.
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -31,7 +31,7 @@
     net::awaitable<UpstreamConnectionPtr> connect(RequestContext& request, const AttemptTarget& target)
     {
         auto connection = std::make_unique<UpstreamConnection>(request.thread.context);
-        connection->stream.expires_at(std::min(request.deadline, request.thread.services.clock.now() + connectTimeout));
+        connection->stream.expires_after(std::min<Duration>(request.deadline - request.thread.services.clock.now(), connectTimeout));
         request.cancelAttempt = [stream = &connection->stream] { stream->cancel(); };
         const Endpoint& endpoint = target.server->endpoint;
         boost::system::error_code error;
@@ -100,7 +100,7 @@
             const bool watches = request.thread.services.settings.strategy == DispatchStrategy::Evidence;
             if (!watches || begunAt + bound >= request.deadline)
                 return;
-            m_state->timer.expires_at(begunAt + bound);
+            m_state->timer.expires_after(begunAt + bound - request.thread.services.clock.now());
             m_state->timer.async_wait([state = m_state, &request, &target, &stream, begunAt](const boost::system::error_code& error) {
                 if (error || state->ended)
                     return;
@@ -182,7 +182,7 @@
         co_return std::move(unsent).refuse(ResultCode::ConnectFailed);
     }
     request.cancelAttempt = [stream = &connection->stream] { stream->cancel(); };
-    connection->stream.expires_at(request.deadline);
+    connection->stream.expires_after(request.deadline - request.thread.services.clock.now());
 
     const auto message = messageFor(request, target);
     SentAttempt sent = std::move(unsent).send();
--- a/packages/world/lacewingsail/src/World/Clock.h
+++ b/packages/world/lacewingsail/src/World/Clock.h
@@ -15,10 +15,31 @@
     virtual MonotonicTime now() const = 0;
 };
 
-/// \brief The machine's monotonic clock.
+/// \brief Time since the machine's start, suspensions included.
+std::chrono::nanoseconds timeSinceBoot();
+
+/// \brief The machine's monotonic clock, which also counts the time for which the machine was suspended: leases and permissions
+/// run out meanwhile.
+///
+/// Equal to std::chrono::steady_clock until the machine is suspended, ahead of it afterwards.
 class SystemClock final : public Clock {
 public:
-    MonotonicTime now() const override { return std::chrono::steady_clock::now(); }
+    /// All clocks of a process agree.
+    SystemClock();
+
+    explicit SystemClock(std::chrono::nanoseconds (*readTimeSinceBoot)())
+        : m_readTimeSinceBoot(readTimeSinceBoot)
+        , m_origin(originOf(readTimeSinceBoot))
+    {
+    }
+
+    MonotonicTime now() const override { return m_origin + std::chrono::duration_cast<Duration>(m_readTimeSinceBoot()); }
+
+private:
+    static MonotonicTime originOf(std::chrono::nanoseconds (*readTimeSinceBoot)()) { return std::chrono::steady_clock::now() - std::chrono::duration_cast<Duration>(readTimeSinceBoot()); }
+
+    std::chrono::nanoseconds (*m_readTimeSinceBoot)();
+    MonotonicTime m_origin;
 };
 
 /// \brief A clock that moves only when told to.
