Requests and responses have separate limits of body memory

Found by request_bodies_test: with one limit for both, uploads that callers have nearly sent left no room for the responses of those that were served, and a booking that had run ended as 502.

bench-decisions measures a placement with its outcome at a coordinator.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -2,6 +2,7 @@
 
 #include "Allocations.h"
 
+#include <lacewingsail/Exchange.h>
 #include <lacewingsail/Policy.h>
 
 #include <benchmark/benchmark.h>
@@ -73,6 +74,44 @@
         }
     }
 
+    // One placement and its outcome at the coordinator of a cell, in a fleet with two services in five availability zones.
+    void place(benchmark::State& state)
+    {
+        constexpr int services = 2;
+        constexpr int placementZones = 5;
+        ManualClock clock;
+        clock.advance(std::chrono::hours(1));
+        const GatewayBounds bounds;
+        ServerRegistry registry;
+        const auto servers = static_cast<int>(state.range(0));
+        for (int index = 0; index < servers; ++index) {
+            RegisteredServer server;
+            server.id = BackendServerId("i-" + std::to_string(index));
+            server.service = ServiceId("service-" + std::to_string(index % services));
+            server.zone = ZoneId("zone-" + std::to_string(index % placementZones));
+            server.endpoint = { "10.0.0.1", 80 };
+            server.slots = SlotCount { 6 };
+            server.heartbeat = 1;
+            registry.apply({ server.id, { {}, LogOffset { static_cast<std::uint64_t>(index) } }, server, std::nullopt }, StoreHealth::Healthy, clock.now());
+        }
+        PlacementCoordinator coordinator(registry, bounds, clock, 1);
+        coordinator.update();
+        const PlacementCell cell { ServiceId("service-0"), ZoneId("zone-0"), 0, cellCount(static_cast<std::size_t>(servers / services / placementZones)) };
+        PlacementDemand demand;
+        demand.service = cell.service;
+        demand.latencyObjective = std::chrono::milliseconds(1200);
+        demand.timeToDeadline = std::chrono::milliseconds(4000);
+        for ([[maybe_unused]] auto step : state) {
+            clock.advance(std::chrono::milliseconds(10));
+            const auto decision = coordinator.place(cell, demand);
+            if (!decision || !decision->server)
+                return state.SkipWithError("no server was chosen");
+            const PlacementOutcome outcome { *decision->server, decision->placementId, PlacementStatus::Succeeded, std::chrono::milliseconds(350), 1.0, false };
+            coordinator.recordOutcomes(std::span(&outcome, 1));
+        }
+    }
+
+    BENCHMARK(place)->Arg(255)->Arg(660)->Arg(3500);
     BENCHMARK(choose)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(eject)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(budget);
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -171,7 +171,7 @@
         for (int interim = 0; interim <= maxInterimResponses; ++interim) {
             ResponseParser parser;
             parser.header_limit(maxResponseHeaderBytes);
-            parser.body_limit(MessageBuffers::maxBytes);
+            parser.body_limit(buffers.maxBytes());
             parser.skip(method == http::verb::head);
             co_await readWithin(buffers, connection, parser, error);
             if (error)
@@ -227,7 +227,7 @@
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
-            auto complete = co_await readResponse(services.messageBuffers, connection, request.message.method(), error);
+            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
             if (error || !complete)
                 co_return complete;
             recordStatements(services, request, server, complete->message);
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -184,7 +184,7 @@
     std::shared_ptr<MessageBuffers::Reservation> bodyMemory;
     if (!error && !parser.is_done()) {
         startTimer(bodyTimeout);
-        bodyMemory = std::make_shared<MessageBuffers::Reservation>(m_services.messageBuffers);
+        bodyMemory = std::make_shared<MessageBuffers::Reservation>(m_services.requestBuffers);
         co_await readBody(m_socket, m_buffer, parser, *bodyMemory, error);
     }
     m_timer.cancel();
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -59,9 +59,10 @@
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
     PlacementClient placement { directory, placementCoordinator, loop, clock, random() };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
-    internal::MessageBuffers messageBuffers;
+    internal::MessageBuffers requestBuffers { internal::MessageBuffers::maxRequestBytes };
+    internal::MessageBuffers responseBuffers { internal::MessageBuffers::maxResponseBytes };
     internal::CallerConnections connections;
-    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, messageBuffers, metrics, random, connections.plannedStop };
+    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -30,7 +30,10 @@
     AccountRateLimiter& tokens;
     PlacementClient& placement;
     BackendTable& backends;
-    MessageBuffers& messageBuffers;
+    /// Bodies of requests until their end.
+    MessageBuffers& requestBuffers;
+    /// Responses that are being read.
+    MessageBuffers& responseBuffers;
     Metrics& metrics;
     std::mt19937_64& random;
     const std::optional<PlannedStop>& plannedStop;
