--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -1,9 +1,11 @@
 #!/usr/bin/env python3
 """Planned stops of gateway hosts while callers keep their connections and pipeline requests."""
 
+import itertools
 import os
 import socket
 import sys
+import threading
 import time
 
 sys.dont_write_bytecode = True
@@ -18,6 +20,13 @@
 LONG_MS = 20000
 # Callers are sent to a stopping host until the balancer has removed it; the host still accepts connections after that.
 BALANCER_REACTION_S = 2.3
+# Bookings of a stop in calm: one each CALL_INTERVAL_S, from before the stop until the host has exited.
+SLOW_S = 0.8
+CALL_INTERVAL_S = 0.03
+CALLS_BEFORE_STOP = 20
+CALLS_DURING_STOP = 400
+# A host may exit with requests that came this late unread.
+UNREAD_S = 0.6
 
 
 class StoppingHost:
@@ -140,9 +149,55 @@
         check(host.process.wait() == 0, "exit code")
 
 
+def bookings_that_come_during_the_whole_stop_are_answered(fixture):
+    """Callers that come late in the grace period, on new connections, get their answer or a refusal before the host exits."""
+    results = []
+
+    def book(host, deadline_ms):
+        sent_at, request_id, status = time.monotonic(), None, None
+        try:
+            with Caller(host.callers) as caller:
+                request_id = caller.send("POST", "/order/slow", body=b"clock", deadline_ms=deadline_ms)
+                response = caller.receive()
+                status = response and response.status
+        except OSError:
+            # The host has stopped listening, or it exited before it read the request.
+            pass
+        results.append((sent_at, request_id, status))
+
+    with StoppingHost(fixture) as host, Caller(host.callers) as occupant:
+        for backend in fixture.backends:
+            backend.slow_paths = {"/order/slow": SLOW_S}
+        # Keeps the host from ending early.
+        await_execution(fixture, occupant.send("GET", "/long/hang", deadline_ms=LONG_MS))
+        callers, deadlines = [], itertools.cycle((900, 1500, 3000, LONG_MS))
+        for index in range(CALLS_BEFORE_STOP + CALLS_DURING_STOP):
+            if index == CALLS_BEFORE_STOP:
+                host.process.terminate()
+            callers.append(threading.Thread(target=book, args=(host, next(deadlines))))
+            callers[-1].start()
+            time.sleep(CALL_INTERVAL_S)
+            if not host.process.alive():
+                break
+        check(host.process.wait() == 0, "exit code")
+        ended_at = time.monotonic()
+        for caller in callers:
+            caller.join()
+    statuses = [status for _, _, status in results]
+    counts = {status: statuses.count(status) for status in set(statuses)}
+    print(f"answers: {counts}", flush=True)
+    for sent_at, request_id, status in results:
+        executions = len(fixture.executions(request_id)) if request_id else 0
+        told = f"{request_id} sent {ended_at - sent_at:.2f} s before the end: status {status}, {executions} executions"
+        check(executions <= 1 and (status is not None or executions == 0), told)
+        check(executions == 0 or status != 503, told)
+        check(status is not None or ended_at - sent_at < UNREAD_S, told)
+    check(counts.get(200, 0) > CALLS_BEFORE_STOP and counts.get(503, 0) > 0, f"{counts}")
+
+
 CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
          request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it, request_on_a_connection_accepted_late_in_a_stop_is_answered,
-         booking_of_a_half_closed_connection_is_answered_during_a_stop]
+         booking_of_a_half_closed_connection_is_answered_during_a_stop, bookings_that_come_during_the_whole_stop_are_answered]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
