Uploads that find no memory are told when to come back, with their id

The refusal had neither a Retry-After nor the caller's id. request_bodies_test checks both; it failed on the code before (first refused upload).

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -17,6 +17,8 @@
     // unread data would reset the connection, and the response could be lost.
     constexpr std::chrono::milliseconds lingerTime { 700 };
     constexpr std::chrono::seconds bodyTimeout { 20 };
+    // Other bodies, whose memory a refused one can get, end within about this time.
+    constexpr std::chrono::milliseconds bodyMemoryRetryDelay { 500 };
     // Callers reuse a connection for up to four fifths of the configured idle timeout. The margin allows for delays of
     // a slow host.
     constexpr std::chrono::seconds idleMargin { 1 };
@@ -159,7 +161,7 @@
         const ResultCode code = tooLarge ? ResultCode::HeaderTooLarge : size == std::string_view::npos ? ResultCode::Ok
                                                                                                        : checkRawHeader(bytes.substr(0, size));
         if (code != ResultCode::Ok) {
-            rejectRequest(code);
+            rejectRequest(code, {});
             co_return false;
         }
         if (size != std::string_view::npos)
@@ -195,7 +197,7 @@
     if (closesBeforeNextRequest())
         co_return true;
     if (error) {
-        rejectRequest(resultCodeFor(error));
+        rejectRequest(resultCodeFor(error), parser.get()[m_services.headerNames.requestId]);
         co_return false;
     }
     enqueueRequest(parser.release(), std::move(bodyMemory));
@@ -264,16 +266,16 @@
     writeNextResponse();
 }
 
-void CallerConnection::rejectRequest(ResultCode code)
+void CallerConnection::rejectRequest(ResultCode code, const std::string& requestId)
 {
     if (closesBeforeNextRequest())
         return;
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::make_shared<RequestState>();
-    pending->response = makeErrorResponse(m_services.headerNames, code, {});
+    pending->response = makeErrorResponse(m_services.headerNames, code, requestId, code == ResultCode::Overloaded ? bodyMemoryRetryDelay : std::chrono::milliseconds(0));
     pending->closesConnection = true;
     m_closing = true;
-    log(Event("bad-request").with("code", code));
+    log(Event("bad-request").with("request", requestId).with("code", code));
     m_pending.push_back(std::move(pending));
     writeNextResponse();
 }
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -52,7 +52,7 @@
     bool closesBeforeNextRequest();
     void enqueueRequest(RequestMessage, std::shared_ptr<MessageBuffers::Reservation> bodyMemory);
     void finishRequest(PendingRequest&, RequestResult);
-    void rejectRequest(ResultCode);
+    void rejectRequest(ResultCode, const std::string& requestId);
     void writeNextResponse();
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
--- a/tests/request_bodies_test.py
+++ b/tests/request_bodies_test.py
@@ -35,21 +35,25 @@
         return next(int(line.split()[1]) << 10 for line in file if line.startswith("VmHWM:"))
 
 
-def received_status(connection):
+def received_status(connection, number):
+    """Returns the status of a response that has come, or what else became of the connection."""
     if not select.select([connection], [], [], 0)[0]:
         return None
     try:
-        line = connection.recv(64)
+        head = connection.recv(4096).decode()
     except OSError:
         return "reset"
-    return int(line.split()[1]) if line.startswith(b"HTTP/1.1 ") else "closed"
+    if not head.startswith("HTTP/1.1 "):
+        return "closed"
+    check(f"Attempt-Id: upload-{number}\r\n" in head and "Retry-After: " in head, f"upload {number}: {head}")
+    return int(head.split()[1])
 
 
 def uploads_beyond_the_memory_are_refused_as_not_run(fixture):
     host = fixture.hosts[0]
     uploads = [start_upload(host.callers, number, bytes(BODY_BYTES - 1)) for number in range(CALLERS)]
     time.sleep(1)
-    statuses = [received_status(upload) for upload in uploads]
+    statuses = [received_status(upload, number) for number, upload in enumerate(uploads)]
     counts = {status: statuses.count(status) for status in set(statuses)}
     print(f"peak {peak_bytes(host) >> 20} MB, {counts}", flush=True)
     check(host.process.alive() and peak_bytes(host) < HOST_MEMORY_BYTES, f"peak {peak_bytes(host) >> 20} MB")
