--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -234,13 +234,13 @@
     def exit(self):
         """Ends: nothing listens any more, and open connections are closed."""
         self.record.write(f"server {self.name} exits with {self.running} requests at work")
-        self.listener.shutdown()
-        self.listener.server_close()
+        self.listener.socket.close()
         for each in list(self.connections):
             try:
                 each.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        self.listener.shutdown()
 
     def _handler(server):  # pylint: disable=no-self-argument
         class Handler(BaseHTTPRequestHandler):
@@ -349,6 +349,11 @@
         wait_until(self.is_ready, f"{self.name} to be ready")
         return self.deployment.record.write(f"host {self.name} is ready")
 
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+        return self.deployment.record.write(f"host {self.name} is killed")
+
     def stop(self):
         """A planned stop: SIGTERM, then SIGKILL after the grace period."""
         self.deployment.record.write(f"host {self.name} gets SIGTERM")
