--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -369,7 +369,7 @@
 class Deployment:
     """Hosts and servers in one or more zones, one service. A context manager that ends everything."""
 
-    def __init__(self, record, zones, hosts, servers, work_s, timeout_s=2):
+    def __init__(self, record, zones, hosts, servers, work_s, timeout_s=2, tenants=None):
         self.record = record
         self.directory = tempfile.mkdtemp(prefix="lacewingsail-review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
@@ -382,7 +382,7 @@
         self.service = "lanedisk"
         self.store.put("keyed.op", "config", {
             "version": "r7", "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-            "tenants": [{"name": "huka270", "apiKeys": [KEY], "priority": 1}],
+            "tenants": tenants or [{"name": "huka270", "apiKeys": [KEY], "priority": 1}],
             "listeners": [{"host": HOST_NAME, "routeRules": [
                 {"name": "book", "kind": "non_idempotent", "targetLatencyS": 1, "priority": 1, "public": False, "match": {"pathPrefix": "/book/"},
                  "action": {"service": self.service, "timeoutS": timeout_s, "maxAttempts": 2}},
@@ -413,12 +413,14 @@
 
 
 class Clients:
-    """Clients of one host that send requests one after the other on kept connections, each at most once."""
+    """Clients that send requests one after the other on kept connections, each request once. A client whose host does not take
+    its connection goes to the next host of `others`, as the balancer would send it."""
 
     ids = itertools.count(1)
 
-    def __init__(self, record, host, method, path, count, pause_s, deadline_ms=5000):
+    def __init__(self, record, host, method, path, count, pause_s, deadline_ms=5000, key=KEY, others=()):
         self.record, self.host, self.method, self.path, self.pause_s, self.deadline_ms = record, host, method, path, pause_s, deadline_ms
+        self.key, self.hosts = key, [host, *others]
         # Attempt id: (host, time of sending, status or None).
         self.sent = {}
         self.ended = False
@@ -433,18 +435,20 @@
 
     def _run(self):
         connection = None
+        hosts = itertools.cycle(self.hosts)
         while not self.ended:
             if connection is None:
-                connection = http.client.HTTPConnection(self.host.front, timeout=self.deadline_ms / 1000)
+                host = next(hosts)
+                connection = http.client.HTTPConnection(host.front, timeout=self.deadline_ms / 1000)
             attempt = f"{next(Clients.ids):016x}"
             status = None
             at = self.record.now()
             try:
                 connection.connect() if connection.sock is None else None
-                at = self.record.write(f"client sends {attempt} {self.method} {self.path} to {self.host.name}")
-                self.sent[attempt] = (self.host.name, at, None)
+                at = self.record.write(f"client sends {attempt} {self.method} {self.path} to {host.name}")
+                self.sent[attempt] = (host.name, at, None)
                 connection.request(self.method, self.path, body=b"clock" if self.method == "POST" else None,
-                                   headers={"Host": HOST_NAME, "Attempt-Id": attempt, "Deadline-Ms": str(self.deadline_ms), "Authorization": f"Token {KEY}"})
+                                   headers={"Host": HOST_NAME, "Attempt-Id": attempt, "Deadline-Ms": str(self.deadline_ms), "Authorization": f"Token {self.key}"})
                 response = connection.getresponse()
                 response.read()
                 status = response.status
@@ -453,7 +457,7 @@
                 closes = True
             if attempt in self.sent:
                 self.record.write(f"client gets {status or 'no answer'} for {attempt}")
-                self.sent[attempt] = (self.host.name, at, status)
+                self.sent[attempt] = (host.name, at, status)
             if closes:
                 connection.close()
                 connection = None
