--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -190,7 +190,8 @@
 
 class Server:
     """A backend server that registers itself in the store. `before_answer(server, handler, answers)` returns bytes that are
-    sent before an answer; `answers` counts those that the connection has carried. `runs` lists (time, attempt id) of the
+    sent before an answer; `answers` counts those that the connection has carried. `body(server, handler, body)` returns the body of
+    the answer to a request. `runs` lists (time, attempt id) of the
     requests that it began to work on."""
 
     def __init__(self, record, store, name, service, zone, address, port, work_s):
@@ -200,6 +201,7 @@
         self.sequence = 0
         self.registered = True
         self.before_answer = lambda server, handler, answers: b""
+        self.body = lambda server, handler, body: f"{server.name} {handler.path} ".encode() + body
         self.runs = []
         self.running = 0
         self.connections = set()
@@ -292,7 +294,7 @@
                     with server.lock:
                         server.running -= 1
                 return self.answer(200, [("Attempt-Id", attempt), ("Response-Signature", f"{server.name}.{attempt}"),
-                                         ("Server-Load", f"{server.running + 1},0,{SLOTS}")], f"{server.name} {self.path} ".encode() + body)
+                                         ("Server-Load", f"{server.running + 1},0,{SLOTS}")], server.body(server, self, body))
 
             do_GET = do_POST = serve
 
