--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 
 from deployment import BOUNDS, Clients, Deployment, run_case
 
-CLIENTS_A_HOST = 6
+CLIENTS_A_HOST = 10
 PAUSE_S = 0.03
 WORK_S = 0.25
 DOWN_S = 0.5
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import os
 import random
 import re
+import select
 import shutil
 import signal
 import socket
@@ -192,7 +193,8 @@
     """A backend server that registers itself in the store. `before_answer(server, handler, answers)` returns bytes that are
     sent before an answer; `answers` counts those that the connection has carried. `body(server, handler, body)` returns the body of
     the answer to a request. `runs` lists (time, attempt id) of the
-    requests that it began to work on."""
+    requests that it began to work on, and it drops a request when
+    its connection closes."""
 
     def __init__(self, record, store, name, service, zone, address, port, work_s):
         self.record, self.store, self.name, self.service, self.zone, self.work_s = record, store, name, service, zone, work_s
@@ -203,6 +205,8 @@
         self.before_answer = lambda server, handler, answers: b""
         self.body = lambda server, handler, body: f"{server.name} {handler.path} ".encode() + body
         self.runs = []
+        # When the work on each attempt ended.
+        self.ends = {}
         self.running = 0
         self.connections = set()
         self.lock = threading.Lock()
@@ -270,6 +274,17 @@
                     self.wfile.write(first)
                 self.wfile.write(message)
 
+            def work(self):
+                """Works on a request. Returns False once the connection has been closed."""
+                deadline = time.monotonic() + server.work_s
+                while (left := deadline - time.monotonic()) > 0:
+                    readable, _, _ = select.select([self.connection], [], [], left)
+                    if readable and not self.connection.recv(1, socket.MSG_PEEK):
+                        return False
+                    if readable:
+                        time.sleep(max(0, deadline - time.monotonic()))
+                return True
+
             def serve(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 attempt = self.headers.get("Attempt-Id")
@@ -289,8 +304,12 @@
                 try:
                     at = server.record.write(f"server {server.name} runs {attempt} {self.command} {self.path}")
                     server.runs.append((at, attempt))
-                    time.sleep(server.work_s)
+                    if not self.work():
+                        server.record.write(f"server {server.name} drops {attempt}: its connection was closed")
+                        self.close_connection = True
+                        return None
                 finally:
+                    server.ends[attempt] = server.record.now()
                     with server.lock:
                         server.running -= 1
                 return self.answer(200, [("Attempt-Id", attempt), ("Response-Signature", f"{server.name}.{attempt}"),
