--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -401,21 +401,29 @@
         store_address, server_address = f"{block}.2", f"{block}.3"
         self.store = Store(record, store_address, free_ports([store_address], 1)[0])
         self.service = "lanedisk"
-        self.store.put("keyed.op", "config", {
-            "version": "r7", "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
-            "tenants": tenants or [{"name": "huka270", "apiKeys": [KEY], "priority": 1}],
-            "listeners": [{"host": HOST_NAME, "routeRules": [
-                {"name": "book", "kind": "non_idempotent", "targetLatencyS": 1, "priority": 1, "public": False, "match": {"pathPrefix": "/book/"},
-                 "action": {"service": self.service, "timeoutS": timeout_s, "maxAttempts": 2}},
-                {"name": "look", "kind": "idempotent", "targetLatencyS": 1, "priority": 2, "public": False, "match": {"pathPrefix": "/look/"},
-                 "action": {"service": self.service, "timeoutS": timeout_s, "maxAttempts": 2}}]}],
-            "clusters": [{"name": self.service, "healthCheck": "/health", "maxConnections": 360, "protocol": "h1", "tls": False}]})
+        self.timeout_s = timeout_s
+        self.version = 7
+        self.publish(tenants if tenants is not None else [{"name": "huka270", "apiKeys": [KEY], "priority": 1}])
         self.servers = [Server(record, self.store, f"i-{index:02d}a7f3", self.service, zones[index % len(zones)], server_address, port, work_s)
                         for index, port in enumerate(free_ports([server_address], servers))]
         self.hosts = []
         for index, address in enumerate(addresses):
             self.hosts.append(Host(self, f"edge-{zones[index % len(zones)]}-{index // len(zones) + 1}", zones[index % len(zones)], address, ports))
 
+    def publish(self, tenants):
+        """The operator writes a further version. Returns the time of the store's confirmation."""
+        self.store.put("keyed.op", "config", {
+            "version": f"r{self.version}", "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15},
+            "tenants": tenants,
+            "listeners": [{"host": HOST_NAME, "routeRules": [
+                {"name": "book", "kind": "non_idempotent", "targetLatencyS": 1, "priority": 1, "public": False, "match": {"pathPrefix": "/book/"},
+                 "action": {"service": self.service, "timeoutS": self.timeout_s, "maxAttempts": 2}},
+                {"name": "look", "kind": "idempotent", "targetLatencyS": 1, "priority": 2, "public": False, "match": {"pathPrefix": "/look/"},
+                 "action": {"service": self.service, "timeoutS": self.timeout_s, "maxAttempts": 2}}]}],
+            "clusters": [{"name": self.service, "healthCheck": "/health", "maxConnections": 360, "protocol": "h1", "tls": False}]})
+        self.version += 2
+        return self.record.write(f"the operator's configuration r{self.version - 2} is confirmed, tenants {[each['name'] for each in tenants]}")
+
     def __enter__(self):
         return self
 
