Keys stay required when the last account is withdrawn

Cause: the adapter decoded an empty list and a missing one alike, and no accounts counted as no need of keys.

Change: the configuration says whether keys are required. Without a list of accounts, requests without a key are served; one that presents a key needs a known one.

--- a/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.h
+++ b/packages/discovery/lacewingsail/src/Discovery/ActiveConfiguration.h
@@ -17,6 +17,8 @@
     ConfigurationVersion version = ConfigurationVersion::None;
     Configuration configuration;
     CallerLimits limits;
+    /// Whether requests on routes that are not open need the key of a client account. Holds also if no account is left.
+    bool requiresKeys = true;
 };
 
 /// \brief A published configuration with its lookup tables.
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -85,13 +85,14 @@
     ResultCode findAccount(const RequestServices& services, RequestState& request)
     {
         const std::string_view secret = presentedSecret(services.headerNames, request.message);
-        const auto& accounts = request.configuration->published.configuration.accounts;
-        if (accounts.empty())
+        const PublishedConfiguration& published = request.configuration->published;
+        // A key that is presented where none is required may be a withdrawn one.
+        if (secret.empty() && !published.requiresKeys)
             return ResultCode::Ok;
         static const WithdrawnKeys none;
         const Identification found = identify(request.configuration->keys, none, secret.empty() ? std::string() : sha256(secret));
         if (found.code == ResultCode::Ok)
-            request.account = &accounts[static_cast<std::size_t>(found.account)];
+            request.account = &published.configuration.accounts[static_cast<std::size_t>(found.account)];
         return request.route->access == Access::Open ? ResultCode::Ok : found.code;
     }
 
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -268,6 +268,19 @@
     CHECK(account.keys.front().digest == sha256("k"));
 }
 
+// Withdrawing the last account must not open its routes to everybody.
+TEST_CASE_FIXTURE(PlatformRecordsFixture, "decodeConfiguration, empty list of accounts, keys are required all the same")
+{
+    const std::string accounts = R"("tenants":[{"name":"t","apiKeys":["k"],"priority":1,"ratePerS":4.5,"burst":9}],)";
+    const auto emptied = decodeConfiguration(replaced(configuration, accounts, R"("tenants":[],)"));
+    REQUIRE(emptied);
+    CHECK(emptied->configuration.accounts.empty());
+    CHECK(emptied->requiresKeys);
+    const auto without = decodeConfiguration(replaced(configuration, accounts, ""));
+    REQUIRE(without);
+    CHECK_FALSE(without->requiresKeys);
+}
+
 TEST_CASE_FIXTURE(PlatformRecordsFixture, "decodeConfiguration, unknown kind of request, is not repeated")
 {
     const auto decoded = decodeConfiguration(replaced(configuration, R"("download")", R"("keyed")"));
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -170,6 +170,21 @@
         wait_until(lambda host=host: send_request(host.callers, "GET", "/look/1").status == 200, "the restored key")
 
 
+# A configuration whose list of accounts is empty must not count as one without accounts, whose routes are open to all.
+def withdrawal_of_the_last_account_closes_its_routes(fixture):
+    fixture.publish(ROUTES + [("/open/marker/", "idempotent", "archive", 3, 3, True)], [])
+    for host in fixture.hosts:
+        wait_until(lambda host=host: send_request(host.callers, "GET", "/open/marker/1", key=None).status == 503, "the configuration without accounts")
+        for key in ("key-n", "never-held", None):
+            response = send_request(host.callers, "GET", "/look/1", key=key)
+            check(response.status == 401, f"key {key}: status {response.status}")
+            check(not fixture.executions(response.request_id), f"a request with key {key} ran")
+        check(send_request(host.callers, "GET", "/open/1", key=None).status == 200, "open route")
+    fixture.publish(ROUTES, ACCOUNTS)
+    for host in fixture.hosts:
+        wait_until(lambda host=host: send_request(host.callers, "GET", "/look/1").status == 200, "the restored key")
+
+
 def draining_server_gets_no_new_requests(fixture):
     draining = Backend(fixture.store, "i-draining", "desk", "a")
     fixture.backends.append(draining)
@@ -331,7 +346,8 @@
          shed_booking_is_reported_as_not_run, surplus_responses_are_discarded, response_without_length_is_complete,
          slow_reader_gets_complete_closing_response, endless_responses_fail_and_memory_stays_bounded,
          booking_past_its_deadline_fails_and_is_not_repeated, account_above_its_rate_is_refused_on_all_hosts_together,
-         configuration_and_key_changes_reach_all_hosts, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
+         configuration_and_key_changes_reach_all_hosts, withdrawal_of_the_last_account_closes_its_routes,
+         draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
          planned_stop_waits_for_slow_response]
 
