Bound what a connection keeps of a message that does not end

Callers saw: a server that sent a chunk extension or a trailer without end took the memory of the host that had called it (2 GB in 8 s, limit 260 MB); the host and the requests of its other callers ended.

Cause: the parser's limits cover header and body. The line before a chunk and the trailer are neither, and the buffer that collects them had no limit.

Change: every buffer from which HTTP is parsed has a limit: backend servers, callers, store, readiness, operators, and the role entry. Unparsed bytes count towards the memory for responses. The store's responses are limited to 4 MB, bodies to the readiness and operators' ports to 64 KB.

--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-    // The largest responses contain a complete configuration; this leaves room for growth.
-    constexpr std::uint64_t maxResponseBytes = 64 * 1024 * 1024;
+    // The store limits a response to about 1 MB of records, a third more in base64.
+    constexpr std::uint64_t maxResponseBytes = 4 * 1024 * 1024;
 
     using ResponseParser = http::response_parser<http::string_body>;
 
--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.h
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.h
@@ -17,13 +17,16 @@
     void call(std::size_t lane, HttpRequest, std::chrono::milliseconds timeout, Answer) override;
 
 private:
+    /// Bytes of a response that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
+    static constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+
     struct Connection {
         explicit Connection(net::io_context& context)
             : stream(context)
         {
         }
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { maxUnparsedBytes };
         bool busy = false;
     };
 
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr std::uint32_t maxResponseHeaderBytes = 64 * 1024;
     constexpr int maxInterimResponses = 8;
     // Many round trips between zones (2 ms), and several times what connecting to a server at full load takes.
     constexpr std::chrono::milliseconds connectTimeout { 250 };
@@ -160,7 +159,7 @@
         parser.eager(true);
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
-            if (!error && !reservation.resize(parser.get().body().size()))
+            if (!error && !reservation.resize(parser.get().body().size() + connection.buffer.size()))
                 error = http::error::body_limit;
         }
     }
@@ -170,7 +169,7 @@
     {
         for (int interim = 0; interim <= maxInterimResponses; ++interim) {
             ResponseParser parser;
-            parser.header_limit(maxResponseHeaderBytes);
+            parser.header_limit(maxUnparsedResponseBytes);
             parser.body_limit(buffers.maxBytes());
             parser.skip(method == http::verb::head);
             co_await readWithin(buffers, connection, parser, error);
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -12,6 +12,9 @@
 
 namespace lacewingsail::internal {
 
+/// Bytes of a response that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
+constexpr std::size_t maxUnparsedResponseBytes = 64 * 1024;
+
 /// \brief An open connection to a backend server.
 struct BackendConnection {
     explicit BackendConnection(net::io_context& context)
@@ -20,7 +23,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { maxUnparsedResponseBytes };
     MonotonicTime idleSince {};
     /// Until then the server is expected to keep it open while it is idle.
     MonotonicTime openUntil {};
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -28,13 +28,16 @@
 
     using RequestParser = http::request_parser<http::string_body>;
 
+    const boost::system::error_code bodyMemoryExhausted = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+
     ResultCode resultCodeFor(const boost::system::error_code& error)
     {
-        if (error == http::error::header_limit)
+        // What fills the buffer of a connection is the line before a chunk, or the trailer.
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return ResultCode::HeaderTooLarge;
         if (error == http::error::body_limit)
             return ResultCode::BodyTooLarge;
-        if (error == http::error::buffer_overflow)
+        if (error == bodyMemoryExhausted)
             return ResultCode::Overloaded;
         return ResultCode::MalformedRequest;
     }
@@ -51,7 +54,7 @@
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(socket, buffer, parser, net::redirect_error(net::use_awaitable, error));
             if (!error && !memory.resize(parser.get().body().size()))
-                error = http::error::buffer_overflow;
+                error = bodyMemoryExhausted;
         }
     }
 
@@ -118,7 +121,9 @@
         boost::system::error_code ignored;
         co_await m_queueSpaceTimer.async_wait(net::redirect_error(net::use_awaitable, ignored));
     }
-    if (m_buffer.size() > 0 && !m_closing)
+    if (m_closing)
+        m_buffer.clear();
+    if (m_buffer.size() > 0)
         co_return true;
     startTimer(m_closing ? Duration(lingerTime) : idleTimeout());
     boost::system::error_code error;
@@ -153,6 +158,8 @@
 {
     const CallerLimits callerLimits = limits();
     startTimer(callerLimits.requestTimeout);
+    // The limit that the buffer had before may have been higher.
+    m_buffer.max_size(std::max(m_buffer.size(), callerLimits.headerBytes) + readChunkBytes);
     boost::system::error_code error;
     for (;;) {
         const std::string_view bytes(static_cast<const char*>(m_buffer.data().data()), m_buffer.size());
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -16,6 +16,8 @@
 namespace internal {
 
     constexpr std::size_t maxMetricSeries = 256;
+    // The requests of the balancer and of operators need no body.
+    constexpr std::uint64_t maxProbeBodyBytes = 64 * 1024;
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
     constexpr std::chrono::milliseconds drainCheckInterval { 100 };
@@ -111,11 +113,11 @@
     tokens.setCoordinatorProbe([this](const LiveHost& coordinator) { exchange.probe(coordinator); });
     placement.connect(*calls);
     readinessServer = std::make_unique<HttpServer>(
-        settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error);
+        settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error, internal::maxProbeBodyBytes);
     if (error)
         return error;
     operatorServer = std::make_unique<HttpServer>(
-        settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error);
+        settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error, internal::maxProbeBodyBytes);
     if (error)
         return error;
     boost::system::error_code listenError;
--- a/packages/http/lacewingsail/src/Http/HttpClient.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpClient.cpp
@@ -4,7 +4,6 @@
 #include <boost/beast.hpp>
 
 #include <atomic>
-#include <limits>
 
 namespace lacewingsail {
 
@@ -14,6 +13,9 @@
 
 namespace internal {
 
+    // Bytes that are kept until they can be parsed: a header, the line before a chunk, or a trailer.
+    constexpr std::size_t largestUnparsedResponse = 64 * 1024;
+
     struct ControlConnection {
         explicit ControlConnection(net::io_context& context)
             : stream(context)
@@ -21,7 +23,7 @@
         }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer { largestUnparsedResponse };
         bool open = false;
     };
 
@@ -134,7 +136,7 @@
     if (!connection || (connection->open && internal::hasUnreadData(*connection)))
         connection = std::make_unique<internal::ControlConnection>(m_implementation->context);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.body_limit(HttpServer::largestControlBody);
     error = m_implementation->run(internal::toBeast(request, m_implementation->endpoint), parser, timeout);
     if (error) {
         connection.reset();
--- a/packages/http/lacewingsail/src/Http/HttpServer.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpServer.cpp
@@ -22,8 +22,9 @@
 
 namespace internal {
 
-    constexpr std::uint64_t largestControlBody = 64 * 1024 * 1024;
     constexpr std::chrono::seconds controlTimeout { 60 };
+    // Bytes that are kept until they can be parsed: a header, the line before a chunk, or a trailer.
+    constexpr std::size_t largestUnparsedRequest = 64 * 1024;
 
     HttpRequest fromBeast(http::request<http::string_body> message)
     {
@@ -49,13 +50,13 @@
         return message;
     }
 
-    net::awaitable<void> serveControl(beast::tcp_stream stream, const HttpServer::Handler& handler)
+    net::awaitable<void> serveControl(beast::tcp_stream stream, const HttpServer::Handler& handler, std::uint64_t largestBody)
     {
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(largestUnparsedRequest);
         bool keepAlive = true;
         while (keepAlive) {
             http::request_parser<http::string_body> parser;
-            parser.body_limit(largestControlBody);
+            parser.body_limit(largestBody);
             stream.expires_after(controlTimeout);
             co_await http::async_read(stream, buffer, parser, net::use_awaitable);
             keepAlive = parser.get().keep_alive();
@@ -68,7 +69,7 @@
     // A broken connection ends its own coroutine only.
     void ignoreBrokenConnection(std::exception_ptr) { }
 
-    net::awaitable<void> acceptControl(net::ip::tcp::acceptor& acceptor, const HttpServer::Handler& handler)
+    net::awaitable<void> acceptControl(net::ip::tcp::acceptor& acceptor, const HttpServer::Handler& handler, std::uint64_t largestBody)
     {
         for (;;) {
             boost::system::error_code error;
@@ -78,13 +79,13 @@
             if (error)
                 continue;
             const auto executor = socket.get_executor();
-            net::co_spawn(executor, serveControl(beast::tcp_stream(std::move(socket)), handler), ignoreBrokenConnection);
+            net::co_spawn(executor, serveControl(beast::tcp_stream(std::move(socket)), handler, largestBody), ignoreBrokenConnection);
         }
     }
 
 } // namespace internal
 
-HttpServer::HttpServer(const Endpoint& endpoint, int threads, Handler handler, std::error_code& error)
+HttpServer::HttpServer(const Endpoint& endpoint, int threads, Handler handler, std::error_code& error, std::uint64_t largestBody)
     : m_implementation(std::make_unique<Implementation>())
 {
     assert(threads > 0);
@@ -100,7 +101,7 @@
         error = problem.code();
         return;
     }
-    net::co_spawn(m_implementation->context, internal::acceptControl(m_implementation->acceptor, m_implementation->handler), net::detached);
+    net::co_spawn(m_implementation->context, internal::acceptControl(m_implementation->acceptor, m_implementation->handler, largestBody), net::detached);
     for (int index = 0; index < threads; ++index)
         m_implementation->threads.emplace_back([this] { m_implementation->context.run(); });
 }
--- a/packages/http/lacewingsail/src/Http/HttpServer.h
+++ b/packages/http/lacewingsail/src/Http/HttpServer.h
@@ -16,8 +16,12 @@
 public:
     using Handler = std::function<HttpResponse(const HttpRequest&)>;
 
-    /// \brief Listens and starts \p threads threads. \param error set if the endpoint cannot be listened on.
-    HttpServer(const Endpoint&, int threads, Handler, std::error_code& error);
+    /// Bytes of a request's body.
+    static constexpr std::uint64_t largestControlBody = 64 * 1024 * 1024;
+
+    /// \brief Listens and starts \p threads threads. \param error set if the endpoint cannot be listened on. \param largestBody
+    /// in bytes; a request with a larger one ends its connection.
+    HttpServer(const Endpoint&, int threads, Handler, std::error_code& error, std::uint64_t largestBody = largestControlBody);
 
     /// \brief Closes all connections and joins the threads.
     ~HttpServer();
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-    constexpr std::uint32_t largestAnswerHeader = 64 * 1024;
     constexpr std::chrono::milliseconds connectTimeout { 500 };
     // Each answer moves the smoothed latency by one part in this many.
     constexpr std::int64_t latencySmoothing = 8;
@@ -64,7 +63,7 @@
     std::unique_ptr<EmptyParser> newParser(http::verb method)
     {
         auto parser = std::make_unique<EmptyParser>();
-        parser->header_limit(largestAnswerHeader);
+        parser->header_limit(largestUnparsedAnswer);
         parser->body_limit(boost::none);
         parser->skip(method == http::verb::head);
         return parser;
--- a/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/CallerSession.cpp
@@ -39,7 +39,8 @@
 
     ResultCode codeOf(const boost::system::error_code& error)
     {
-        if (error == http::error::header_limit)
+        // What fills the buffer of a connection is the line before a chunk, or the trailer.
+        if (error == http::error::header_limit || error == http::error::buffer_overflow)
             return ResultCode::HeaderTooLarge;
         if (error == http::error::body_limit)
             return ResultCode::BodyTooLarge;
@@ -257,7 +258,7 @@
 {
     const OpenConnection counted(control);
     beast::tcp_stream caller(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(thread.services.settings.limits.headerBytes + pieceBytes);
     bool keep = true;
     while (keep) {
         if (!co_await awaitRequest(thread, control, caller, buffer)) {
--- a/packages/proxy/lacewingsail/src/Proxy/UpstreamPool.h
+++ b/packages/proxy/lacewingsail/src/Proxy/UpstreamPool.h
@@ -11,6 +11,9 @@
 
 namespace lacewingsail::internal {
 
+/// Bytes of an answer that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
+constexpr std::size_t largestUnparsedAnswer = 64 * 1024;
+
 /// \brief A connection to a backend server.
 struct UpstreamConnection {
     explicit UpstreamConnection(net::io_context& context)
@@ -19,7 +22,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { largestUnparsedAnswer };
 };
 
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -19,15 +19,30 @@
 HEARTBEAT_S = 0.5
 HANG_S = 30
 SIGNED_HEAD = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nResponse-Signature: s1\r\n"
+CHUNKED_HEAD = SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n"
+FILLER = b"x" * 65536
+FILLER_FIELDS = (b"X-Filler: " + b"x" * 1000 + b"\r\n") * 64
 # Responses without end: their start, the piece that is repeated, and the pause after each piece in seconds.
 ENDLESS = {
-    "endless-head": (SIGNED_HEAD, b"X-Filler: " + b"x" * 1000 + b"\r\n", 0),
-    "endless-head-line": ("HTTP/1.1 200 ", b"x" * 1000, 0),
+    "endless-version": ("HTTP/1.", FILLER, 0),
+    "endless-status": ("HTTP/1.1 2", b"0" * 65536, 0),
+    "endless-head-line": ("HTTP/1.1 200 ", FILLER, 0),
+    "endless-head": (SIGNED_HEAD, FILLER_FIELDS, 0),
+    "endless-field-name": (SIGNED_HEAD, FILLER, 0),
+    "endless-field-value": (SIGNED_HEAD + "X-Filler: ", FILLER, 0),
+    "endless-folded-field": (SIGNED_HEAD + "X-Filler: x", b"\r\n " * 20000, 0),
+    "endless-empty-lines": ("", b"\r\n" * 32768, 0),
     "endless-interim": ("", b"HTTP/1.1 100 Continue\r\n\r\n", 0),
-    "endless-body": (SIGNED_HEAD + "\r\n", b"x" * 65536, 0),
-    "endless-chunks": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n", b"10000\r\n" + b"x" * 65536 + b"\r\n", 0),
-    "endless-chunk-extension": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n1;", b"x" * 1000, 0),
-    "endless-trailer": (SIGNED_HEAD + "Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-Filler: " + b"x" * 1000 + b"\r\n", 0),
+    "endless-interim-fields": ("HTTP/1.1 100 Continue\r\n", FILLER_FIELDS, 0),
+    "endless-body": (SIGNED_HEAD + "\r\n", FILLER, 0),
+    "endless-chunks": (CHUNKED_HEAD, b"10000\r\n" + FILLER + b"\r\n", 0),
+    "endless-small-chunks": (CHUNKED_HEAD, b"1;x=y\r\nx\r\n" * 6000, 0),
+    "endless-chunk-size": (CHUNKED_HEAD, b"0" * 65536, 0),
+    "endless-chunk-extension": (CHUNKED_HEAD + "1;", FILLER, 0),
+    "endless-last-chunk-extension": (CHUNKED_HEAD + "0;", FILLER, 0),
+    "endless-chunk-end": (CHUNKED_HEAD + "1\r\nx", FILLER, 0),
+    "endless-trailer": (CHUNKED_HEAD + "0\r\n", FILLER_FIELDS, 0),
+    "endless-trailer-name": (CHUNKED_HEAD + "0\r\n", FILLER, 0),
     "endless-slow-head": (SIGNED_HEAD + "X-Filler: ", b"x", 0.02),
     "endless-slow-body": (SIGNED_HEAD + "\r\n", b"x", 0.02),
 }
@@ -43,8 +58,25 @@
         """Ignores errors: tests break connections on purpose."""
 
 
+class EndlessSender:
+    """Part of a handler that sends without end. `owner` counts in `endless` the messages that were begun, in `abandoned` those
+    of them that the receiver ended; it sends while `alive`."""
+
+    def send_endlessly(self, owner, start, piece, pause_s):
+        """Sends `start` and then `piece` again and again until the receiver closes the connection."""
+        owner.endless += 1
+        self.close_connection = True
+        try:
+            self.wfile.write(start.replace("ID", self.headers.get("Attempt-Id", "")).encode())
+            while owner.alive:
+                self.wfile.write(piece)
+                time.sleep(pause_s)
+        except OSError:
+            owner.abandoned += 1
+
+
 class Store:
-    """The platform's store. `mode` is up, busy, reset or silent; `delay_s` delays responses, `body_delay_s` their bodies;
+    """The platform's store. `mode` is up, busy, reset, silent or one of ENDLESS; `delay_s` delays responses, `body_delay_s` their bodies;
     `lose_writes` drops the responses to writes that took effect; reads of `refused_topics` get 503. `overlapping_calls` lists
     the calls during which another one arrived on the same connection: a client must wait for the response first. `era` counts
     the restorations from a copy and is in every response; `gone` counts the reads that were refused since their records did
@@ -55,6 +87,8 @@
         self.topics = {}
         self.first = {}
         self.mode = "up"
+        self.endless = self.abandoned = 0
+        self.alive = True
         self.delay_s = 0
         self.body_delay_s = 0
         self.lose_writes = False
@@ -127,7 +161,7 @@
             return self.era, {"items": items[:2], "more": len(items) > 2, "end": len(self.topics.get(topic, []))}
 
     def _handler(store):  # pylint: disable=no-self-argument
-        class Handler(BaseHTTPRequestHandler):
+        class Handler(EndlessSender, BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def log_message(self, *_):
@@ -163,6 +197,8 @@
                 elif store.mode == "silent":
                     time.sleep(HANG_S)
                     self.close_connection = True
+                elif store.mode in ENDLESS:
+                    self.send_endlessly(store, *ENDLESS[store.mode])
                 return store.mode != "up"
 
             def do_GET(self):
@@ -251,7 +287,7 @@
         self.store.put("keyed.servers", self.name, None)
 
     def _handler(backend):  # pylint: disable=no-self-argument
-        class Handler(BaseHTTPRequestHandler):
+        class Handler(EndlessSender, BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def log_message(self, *_):
@@ -268,18 +304,6 @@
                 self.wfile.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body + extra)
                 self.wfile.flush()
 
-            def send_endlessly(self, start, piece, pause_s):
-                """Sends `start` and then `piece` again and again until the receiver closes the connection."""
-                backend.endless += 1
-                self.close_connection = True
-                try:
-                    self.wfile.write(start.replace("ID", self.headers["Attempt-Id"]).encode())
-                    while backend.alive:
-                        self.wfile.write(piece)
-                        time.sleep(pause_s)
-                except OSError:
-                    backend.abandoned += 1
-
             def record_execution(self):
                 backend.executions.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
 
@@ -318,7 +342,7 @@
                     self.close_connection = True
                     return self.raw(200, response_body)
                 if behaviour in ENDLESS:
-                    return self.send_endlessly(*ENDLESS[behaviour])
+                    return self.send_endlessly(backend, *ENDLESS[behaviour])
                 extra = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 4\r\n\r\nlate" if behaviour == "extra" else b""
                 return self.raw(200, response_body, len(response_body), extra)
 
--- a/tests/CallerHardeningTest.cpp
+++ b/tests/CallerHardeningTest.cpp
@@ -71,6 +71,14 @@
     checkRefused("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "101");
 }
 
+// Neither counts as a part of the header or of the body.
+TEST_CASE_FIXTURE(CallerHardeningFixture, "request, chunk extension or trailer without end, is refused")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const char* start : { "1;", "0;", "0\r\nX-A: " })
+        checkRefused(head + start + std::string(300'000, 'a'), "431", "102");
+}
+
 TEST_CASE_FIXTURE(CallerHardeningFixture, "request, expectation to continue, is told to")
 {
     RawCaller caller(settings.callers);
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -119,7 +119,7 @@
         fixture.set_behaviour(behaviour)
         with contextlib.ExitStack() as stack:
             callers = [stack.enter_context(Caller(host.callers)) for _ in range(ENDLESS_CALLERS)]
-            ids = [caller.send("POST", "/brief/1") for caller in callers]
+            ids = [caller.send("POST", "/book/1") for caller in callers]
             responses = [caller.receive() for caller in callers]
         check(all(response.status in (502, 503, 504) for response in responses), f"{behaviour}: {sorted(response.status for response in responses)}")
         check([response.headers["Attempt-Id"] for response in responses] == ids, f"{behaviour}: responses to other requests")
