Hosts start within an address space of their memory

Callers saw: hosts that end by themselves at their start, again and again (FAULT and SHORT in the users' runs of real processes are explained by it; inferred, as no logs were kept).

Cause: 21 threads with stacks of 8 MB and memory arenas of 64 MB take 317 MB of address space, of which 18 MB are used. Under a limit of the address space a thread cannot be created and the process aborts.

Change: stacks of 512 KB and one memory arena, set before the first thread.

--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -6,7 +6,9 @@
 
 #include <PlatformAdapter.h>
 
+#include <malloc.h>
 #include <popt.h>
+#include <pthread.h>
 
 #include <atomic>
 #include <csignal>
@@ -23,6 +25,9 @@
     constexpr int exitUsage = 2;
     constexpr int exitFailure = 1;
     constexpr std::chrono::milliseconds drainCheckInterval { 50 };
+    // Threads other than the event loop's only hand messages on.
+    constexpr std::size_t threadStackBytes = 512 * 1024;
+    constexpr int memoryArenas = 1;
 
     struct Options {
         std::string settingsFile;
@@ -119,6 +124,18 @@
         return 0;
     }
 
+    // A platform may limit the address space of a process to its memory. By default each thread takes 8 MB of it for its stack,
+    // and each of its memory arenas 64 MB.
+    void limitAddressSpace()
+    {
+        pthread_attr_t attributes;
+        pthread_attr_init(&attributes);
+        const bool limited = pthread_attr_setstacksize(&attributes, threadStackBytes) == 0 && pthread_setattr_default_np(&attributes) == 0;
+        pthread_attr_destroy(&attributes);
+        if (!limited || mallopt(M_ARENA_MAX, memoryArenas) == 0)
+            std::cerr << "lacewingd: the address space of threads keeps its default size\n";
+    }
+
     int runGateway(bool checkOnly)
     {
         const auto settings = platform_adapter::readGatewaySettings();
@@ -127,6 +144,7 @@
         if (checkOnly)
             return 0;
         std::signal(SIGPIPE, SIG_IGN);
+        limitAddressSpace();
         if (const std::error_code error = platform_adapter::runGateway(*settings)) {
             std::cerr << "lacewingd: cannot listen: " << error.message() << '\n';
             return exitFailure;
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -87,13 +88,14 @@
 
 
 class Process:
-    """One process with its log file."""
+    """One process with its log file. `address_space` limits it in bytes."""
 
-    def __init__(self, name, command, log_directory):
+    def __init__(self, name, command, log_directory, address_space=resource.RLIM_INFINITY):
         self.name = name
         self.log_path = os.path.join(log_directory, f"{name}.log")
         with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            self.child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                          preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_AS, (address_space, address_space)))
 
     def alive(self):
         return self.child.poll() is None
