Interim responses wait for the responses before them

Cause: the interim response was written to the socket at once, although a response may be in progress.

Change: it is written when all earlier responses have been, or not at all if the body of the request has come by then.

Evidence: request_bodies_test, two new cases failed on the code before ("the download holds other bytes", "status 100 for the first request"), pass now.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -186,10 +186,8 @@
     const bool valid = !error && parser.get().version() == 11 && hasUnambiguousFraming(parser.get()) && parser.get().count(http::field::host) == 1 && parser.get().count(http::field::authorization) <= 1 && parser.get().target().starts_with('/');
     if (!error && !valid)
         error = http::error::bad_field;
-    if (!error && parser.get().count(http::field::expect) != 0) {
-        static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await net::async_write(m_socket, net::buffer(continueResponse), net::redirect_error(net::use_awaitable, error));
-    }
+    m_interimResponseDue = !error && !parser.is_done() && parser.get().count(http::field::expect) != 0;
+    writeInterimResponse();
     std::shared_ptr<MessageBuffers::Reservation> bodyMemory;
     if (!error && !parser.is_done()) {
         startTimer(bodyTimeout);
@@ -197,6 +195,7 @@
         co_await readBody(m_socket, m_buffer, parser, *bodyMemory, error);
     }
     m_timer.cancel();
+    m_interimResponseDue = false;
     if (error && isConnectionEnd(error)) {
         onCallerDisconnected();
         co_return false;
@@ -287,9 +286,27 @@
     writeNextResponse();
 }
 
+// Follows the responses to all earlier requests. Until then the caller waits or sends its body without it.
+void CallerConnection::writeInterimResponse()
+{
+    if (!m_interimResponseDue || m_writing || !m_pending.empty() || m_closing)
+        return;
+    static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_interimResponseDue = false;
+    m_writing = true;
+    net::async_write(m_socket, net::buffer(continueResponse), [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        self->m_writing = false;
+        if (error)
+            return self->onCallerDisconnected();
+        self->writeNextResponse();
+    });
+}
+
 void CallerConnection::writeNextResponse()
 {
-    if (m_writing || m_pending.empty() || !m_pending.front()->response)
+    if (m_pending.empty())
+        return writeInterimResponse();
+    if (m_writing || !m_pending.front()->response)
         return;
     const PendingRequestPtr pending = m_pending.front();
     if (m_connections.plannedStop && m_pending.size() == 1)
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -53,6 +53,7 @@
     void enqueueRequest(RequestMessage, std::shared_ptr<MessageBuffers::Reservation> bodyMemory);
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode, const std::string& requestId);
+    void writeInterimResponse();
     void writeNextResponse();
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
@@ -72,6 +73,8 @@
     std::deque<PendingRequestPtr> m_pending;
     bool m_receiving = false;
     bool m_writing = false;
+    /// The caller waits to be told that it may send the body of its request.
+    bool m_interimResponseDue = false;
     /// No further requests are accepted.
     bool m_closing = false;
     bool m_timedOut = false;
--- a/tests/request_bodies_test.py
+++ b/tests/request_bodies_test.py
@@ -10,8 +10,9 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from fleet.gateway_fixture import check, run_cases, send_request
-from fleet.platform_standins import host_and_port
+from fleet.gateway_fixture import Caller, check, run_cases, send_request
+from fleet.platform_standins import LARGE_BYTES, host_and_port
+from fleet.processes import wait_until
 
 BODY_BYTES = 1 << 20
 # Together more than the smallest hosts have.
@@ -79,7 +80,42 @@
     check(peak_bytes(host) < HOST_MEMORY_BYTES, f"peak {peak_bytes(host) >> 20} MB")
 
 
+def interim_response_is_not_written_into_another_response(fixture):
+    fixture.set_behaviour("large")
+    with Caller(fixture.hosts[0].callers) as caller:
+        first = caller.send("GET", "/look/1")
+        wait_until(lambda: fixture.executions(first), "the download to begin")
+        # Until the response fills what the network takes.
+        time.sleep(0.3)
+        second = caller.send("POST", "/look/2", body=b"x" * 300, headers=["Expect: 100-continue"])
+        time.sleep(0.3)
+        response = caller.receive()
+        check(response.headers["Attempt-Id"] == first and response.body == b"x" * LARGE_BYTES, "the download holds other bytes")
+        response = caller.receive()
+        while response.status == 100:
+            response = caller.receive()
+        check(response.status == 200 and response.headers["Attempt-Id"] == second, f"status {response.status} for {response.headers.get('Attempt-Id')}")
+    fixture.set_behaviour("good")
+
+
+def caller_that_waits_for_an_interim_response_gets_it_after_earlier_responses(fixture):
+    fixture.set_behaviour("slow")
+    with Caller(fixture.hosts[0].callers) as caller:
+        first = caller.send("GET", "/look/1")
+        lines = ["POST /look/2 HTTP/1.1", "Host: clubs.example", "Attempt-Id: waiting", "Authorization: Token key-n", "Content-Length: 4", "Expect: 100-continue"]
+        caller.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n")
+        response = caller.receive()
+        check(response.status == 200 and response.headers["Attempt-Id"] == first, f"status {response.status} for the first request")
+        check(caller.receive().status == 100, "no interim response")
+        caller.socket.sendall(b"1234")
+        response = caller.receive()
+        check(response.status == 200 and response.body.endswith(b"1234"), f"status {response.status} for the second request")
+    fixture.set_behaviour("good")
+
+
 CASES = [
+    interim_response_is_not_written_into_another_response,
+    caller_that_waits_for_an_interim_response_gets_it_after_earlier_responses,
     uploads_beyond_the_memory_are_refused_as_not_run,
     memory_of_ended_uploads_is_available_again,
 ]
