Responses that run into another one leave the outcome open

Cause: a server broke off the start of a message inside a field and sent its real response behind it. The parser takes both for one: the statement of the first that nothing ran, with the id of the second.

Change: a response whose reason phrase or fields, trailers included, contain a status line is of unknown outcome, and its connection is closed; in both roles.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -2,6 +2,8 @@
 
 #include "HopByHopHeaders.h"
 
+#include <lacewingsail/Http.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -187,6 +189,13 @@
         co_return std::nullopt;
     }
 
+    // Neither of two messages that the parser took for one can be trusted, not even with what it says of the execution. The fields
+    // include those of a trailer.
+    bool runsIntoAnother(const ResponseMessage& response)
+    {
+        return containsStatusLine(response.reason()) || std::ranges::any_of(response, [](const auto& field) { return containsStatusLine(field.value()); });
+    }
+
     // A response belongs to the request whose id it repeats. With several ids it belongs to none.
     bool namesRequest(const HeaderNames& names, const RequestState& request, const ResponseMessage& response)
     {
@@ -229,6 +238,10 @@
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
             if (error || !complete)
                 co_return complete;
+            if (runsIntoAnother(complete->message)) {
+                log(Event("response-runs-into-another").with("request", request.id).with("server", server.registration.id));
+                break;
+            }
             recordStatements(services, request, server, complete->message);
             if (!isStale(services.headerNames, request, connection, complete->message)) {
                 // After a late response a further one may follow.
--- a/packages/http/lacewingsail/src/Http/RawHeader.cpp
+++ b/packages/http/lacewingsail/src/Http/RawHeader.cpp
@@ -72,4 +72,17 @@
     return ResultCode::MalformedRequest;
 }
 
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    // A minor version, a space and a status, where 0 stands for any digit.
+    constexpr std::string_view rest = "0 000";
+    const auto matches = [](char character, char pattern) { return pattern == '0' ? character >= '0' && character <= '9' : character == pattern; };
+    for (std::size_t at = text.find(version); at != std::string_view::npos; at = text.find(version, at + 1)) {
+        if (std::ranges::equal(text.substr(at + version.size(), rest.size()), rest, matches))
+            return true;
+    }
+    return false;
+}
+
 } // namespace lacewingsail
--- a/packages/http/lacewingsail/src/Http/RawHeader.h
+++ b/packages/http/lacewingsail/src/Http/RawHeader.h
@@ -16,4 +16,8 @@
 /// \returns ResultCode::Ok or the reason of the refusal.
 ResultCode checkRawHeader(std::string_view header);
 
+/// \returns whether a field value or a reason phrase contains a status line of HTTP/1: a response that was broken off there runs
+/// into the next one, and a parser takes both for one.
+bool containsStatusLine(std::string_view text);
+
 } // namespace lacewingsail
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -1,5 +1,7 @@
 #include "Attempt.h"
 
+#include <lacewingsail/Http.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -76,6 +78,12 @@
         return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
     }
 
+    // Neither of two messages that the parser took for one can be trusted, not even with what it says of the execution.
+    bool runsIntoAnother(const ResponseHeader& header)
+    {
+        return containsStatusLine(header.reason()) || std::ranges::any_of(header, [](const auto& field) { return containsStatusLine(field.value()); });
+    }
+
     AttemptOutcome outcomeOf(const boost::system::error_code& error, const RequestContext& request)
     {
         if (request.callerDisconnected)
@@ -206,7 +214,7 @@
         request.mayHaveRun = true;
         co_return std::move(sent).fail(codeOf(outcome));
     }
-    if (parser->get()[requestIdField] != request.id.value() || !isWholeByItself(*parser)) {
+    if (parser->get()[requestIdField] != request.id.value() || !isWholeByItself(*parser) || runsIntoAnother(parser->get())) {
         reportAttempt(request, target, AttemptOutcome::InvalidResponse, begunAt, false);
         request.mayHaveRun = true;
         co_return std::move(sent).fail(ResultCode::UpstreamWrongAnswer);
--- a/tests/backend_responses_test.py
+++ b/tests/backend_responses_test.py
@@ -216,6 +216,31 @@
     check(late.hits > 0 and not set(statuses) & set(NOT_RUN), f"{statuses}")
 
 
+def refusals_that_run_into_the_response_leave_the_outcome_open(fixture):
+    """A refusal that is broken off at any byte, or the start of a success, is taken by a parser for the start of the response."""
+    chunked = b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Filler: "
+    starts = [refusal("X-Filler: 1\r\n")[:size] for size in range(1, len(refusal("X-Filler: 1\r\n")))]
+    starts += [b"HTTP/1.1 503 X\r\nNot-Executed: 1", b"HTTP/1.1 503 X\r\nNot-Executed:", chunked, chunked + b"1\r\n "]
+    for start in starts:
+        fixture.set_behaviour(late := LateResponses(lambda previous, current, response, start=start: [start + response]))
+        for _ in range(8):
+            exchange = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+            exchange.check(fixture, f"{start}")
+            check(exchange.status in (200, 502), f"{start}: status {exchange.status}")
+        check(late.hits > 0, f"{start}: no late response was written")
+    fixture.set_behaviour("good")
+
+
+def failure_behind_the_start_of_a_success_stays_a_failure(fixture):
+    def make(_, __, response):
+        return [b"HTTP/1.1 200 ", response.replace(b"HTTP/1.1 200 OK", b"HTTP/1.1 500 X")]
+
+    fixture.set_behaviour(late := LateResponses(make))
+    statuses = [Exchange(fixture.hosts[0].callers, "POST", "/book/1").status for _ in range(REQUESTS)]
+    fixture.set_behaviour("good")
+    check(late.hits > 0 and 502 in statuses and statuses.count(200) == REQUESTS - late.hits, f"{late.hits} failures: {statuses}")
+
+
 def repeated_id_is_not_answered_by_its_earlier_refusal(fixture):
     """A caller uses an id again. The refusal of its first use must not answer the second one, which the server runs."""
     refused, late = {}, []
@@ -383,6 +408,8 @@
     status_and_statement_that_differ_leave_the_outcome_open,
     late_refusals_at_any_moment_are_not_taken_for_the_response,
     late_refusal_inside_the_response_is_not_taken_for_it,
+    refusals_that_run_into_the_response_leave_the_outcome_open,
+    failure_behind_the_start_of_a_success_stays_a_failure,
     repeated_id_is_not_answered_by_its_earlier_refusal,
     cut_responses_to_bookings_leave_the_outcome_open,
     cut_responses_to_reads_are_replaced_or_fail,
