A coordinator in a starting fleet grants no tokens that others may have granted

Cause: while most of the fleet is starting, a coordinator counts the tokens since its own start. In a small fleet restarts one after the other look like a start of the fleet, and the host that took over meanwhile has granted them already.

Change: tokens count from the start of the latest process that follows a known one, from the moment a host is known to leave, and, while some hosts have been up for longer, from the latest start.

--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -45,6 +45,10 @@
     const bool restarted = startedAt - entry.startedAt > internal::startTimeTolerance;
     if (wasKnown && !restarted && aliveAt - entry.lastAliveAt >= internal::silenceTimeout)
         entry.returnedAt = aliveAt;
+    if (wasKnown && restarted)
+        entry.grantsEndedAt = startedAt;
+    if (leaving && !entry.leaving)
+        entry.grantsEndedAt = aliveAt;
     // Of several values for one process, the earliest has the smallest delay in it.
     if (!wasKnown || restarted || startedAt < entry.startedAt)
         entry.startedAt = startedAt;
@@ -111,13 +115,30 @@
     return hosts;
 }
 
+// While most of the fleet is starting, the tokens since the start of this process may have been granted by a host that has been
+// restarted or has begun to leave since, or by one that has been up for longer than the others and was enough to coordinate all
+// accounts until the latest of them started.
+MonotonicTime FleetDirectory::earlierGrantsEndedAt(MonotonicTime now) const
+{
+    MonotonicTime endedAt = m_startedAt;
+    MonotonicTime latestStart {};
+    bool established = now - m_startedAt >= internal::gossipDelay;
+    for (const auto& [id, entry] : m_entries) {
+        endedAt = std::max(endedAt, entry.grantsEndedAt);
+        if (entry.leaving || internal::isSilent(entry, now))
+            continue;
+        latestStart = std::max(latestStart, entry.startedAt);
+        established = established || now - entry.startedAt >= internal::gossipDelay;
+    }
+    return established ? std::max(endedAt, latestStart) : endedAt;
+}
+
 GrantAuthority FleetDirectory::coordinatorAuthority(const ClientAccountId& account, MonotonicTime now) const
 {
     const Duration delay = coordinationDelay(now);
     if (m_leaving || !knowsFleetSize() || now - m_startedAt < delay)
         return {};
-    // After a start of the fleet there is no earlier coordinator whose tokens could be granted twice.
-    MonotonicTime since = delay == internal::fleetStartDelay ? m_startedAt : m_startedAt + delay;
+    MonotonicTime since = delay == internal::fleetStartDelay ? earlierGrantsEndedAt(now) : m_startedAt + delay;
     const std::uint64_t ownWeight = rendezvousWeight(account.value(), m_self.id.value());
     for (const auto& [id, entry] : m_entries) {
         if (rendezvousWeight(account.value(), id.value()) <= ownWeight)
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
@@ -36,6 +36,8 @@
         /// Not among the live hosts until then, since a call to it failed.
         MonotonicTime avoidUntil {};
         bool leaving = false;
+        /// When the host's earlier process, or the present one that is leaving, had granted its last tokens; the epoch if none did.
+        MonotonicTime grantsEndedAt {};
     };
 
     /// \param startedAt start of this process.
@@ -95,6 +97,7 @@
 
 private:
     Duration coordinationDelay(MonotonicTime now) const;
+    MonotonicTime earlierGrantsEndedAt(MonotonicTime now) const;
     double reachableShare(MonotonicTime now) const;
 
     LiveHost m_self;
--- a/tests/AccountLimitFleetTest.cpp
+++ b/tests/AccountLimitFleetTest.cpp
@@ -21,11 +21,13 @@
 /// \brief Hosts that limit one account together. Hosts of different sides do not reach each other.
 class LimitedFleet {
 public:
-    explicit LimitedFleet(std::uint32_t seed)
-        : m_random(seed)
+    explicit LimitedFleet(std::uint32_t seed, int size = hostCount, int accountBurst = burst)
+        : m_size(size)
+        , m_burst(accountBurst)
+        , m_random(seed)
     {
         m_clock.advance(1h);
-        for (int index = 0; index < hostCount; ++index) {
+        for (int index = 0; index < size; ++index) {
             m_hosts.push_back(std::make_unique<Member>(*this, index));
             start(index);
         }
@@ -58,7 +60,7 @@
                 if (host->process)
                     readStore(host->process->directory);
                 if (host->process)
-                    granted += sendRequests(*host->process, requestsPerSecond / hostCount);
+                    granted += sendRequests(*host->process, requestsPerSecond / m_size);
             }
             record(granted);
         }
@@ -112,7 +114,7 @@
             , active(configurationOfOneAccount, owner.m_clock)
             , limiter(directory, active, owner.m_bounds, owner.m_clock, owner.m_random)
         {
-            active.applyIfNewer("1", ActiveConfiguration::storeSource);
+            active.applyIfNewer(std::to_string(owner.m_burst), ActiveConfiguration::storeSource);
             limiter.connect(member.calls);
         }
 
@@ -121,12 +123,13 @@
         AccountRateLimiter limiter;
     };
 
-    static std::optional<PublishedConfiguration> configurationOfOneAccount(const std::string&)
+    // The text is the burst of the account.
+    static std::optional<PublishedConfiguration> configurationOfOneAccount(const std::string& text)
     {
         ClientAccount account;
         account.id = ClientAccountId("norrland");
         account.rate = TokensPerSecond { rate };
-        account.burst = wholeTokens(burst);
+        account.burst = wholeTokens(std::stoi(text));
         PublishedConfiguration published;
         published.version = ConfigurationVersion { 1 };
         published.configuration.accounts = { account };
@@ -160,7 +163,7 @@
     void readStore(FleetDirectory& directory) const
     {
         if (!directory.knowsFleetSize() && m_clock.now() - directory.startedAt() >= 250ms)
-            directory.recordFleetSize({ hostCount, m_clock.now() });
+            directory.recordFleetSize({ static_cast<std::size_t>(m_size), m_clock.now() });
     }
 
     void tell(const Member& from, FleetDirectory& to)
@@ -188,6 +191,8 @@
         m_peak = std::max(m_peak, std::accumulate(m_window.begin(), m_window.end(), 0));
     }
 
+    int m_size;
+    int m_burst;
     ManualClock m_clock;
     GatewayBounds m_bounds;
     std::mt19937_64 m_random;
@@ -197,13 +202,15 @@
 };
 
 /// What the operators allow in a window of five seconds.
-int allowed()
+int allowed(int accountBurst = burst)
 {
     const GatewayBounds bounds;
-    return static_cast<int>((rate * 5 + burst) * (1 + bounds.rateOvershoot) + bounds.rateSlack);
+    return static_cast<int>((rate * 5 + accountBurst) * (1 + bounds.rateOvershoot) + bounds.rateSlack);
 }
 
 constexpr double hotDemand = rate * 6;
+// Tokens of several seconds, so that those granted twice show.
+constexpr int largeBurst = rate * 4;
 
 } // namespace
 
@@ -274,6 +281,63 @@
     CHECK(fleet.lastSecond() >= rate * 9 / 10);
 }
 
+// A host that takes over from one that took over from it must not grant the tokens of the time between.
+TEST_CASE("acquire, hosts of a small fleet restart one after the other, stay within the limit")
+{
+    for (std::uint32_t seed = 0; seed < 120; ++seed) {
+        CAPTURE(seed);
+        const int size = 2 + static_cast<int>(seed % 4);
+        const int restartFirst = 1 + static_cast<int>(seed / 4) % (size - 1);
+        const bool planned = seed % 3 == 0;
+        LimitedFleet fleet(seed, size, largeBurst);
+        // Which host coordinates the account depends on its name.
+        const auto member = [&](int index) { return (index + static_cast<int>(seed / 12)) % size; };
+        fleet.run(10s, 0);
+        for (int index = 0; index < restartFirst; ++index) {
+            fleet.kill(member(index));
+            fleet.start(member(index));
+        }
+        fleet.run(3s, 0);
+        fleet.run(500ms, hotDemand);
+        for (int index = restartFirst; index < size; ++index) {
+            if (planned)
+                fleet.announceStop(member(index));
+            else
+                fleet.kill(member(index));
+        }
+        fleet.run(300ms, hotDemand);
+        for (int index = restartFirst; index < size; ++index) {
+            fleet.kill(member(index));
+            fleet.start(member(index));
+        }
+        fleet.run(6s, hotDemand);
+        CHECK(fleet.peak() <= allowed(largeBurst));
+    }
+}
+
+TEST_CASE("acquire, hosts of small fleets restart at random, stay within the limit")
+{
+    for (std::uint32_t seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        const int size = 2 + static_cast<int>(seed % 7);
+        LimitedFleet fleet(seed, size, largeBurst);
+        std::minstd_rand random(seed);
+        fleet.run(10s, rate / 2.0);
+        for (int round = 0; round < 12; ++round) {
+            const int index = static_cast<int>(random() % static_cast<unsigned>(size));
+            if (random() % 2 == 0) {
+                fleet.announceStop(index);
+                fleet.run(1s, hotDemand);
+            }
+            fleet.kill(index);
+            fleet.run(std::chrono::milliseconds(300), hotDemand);
+            fleet.start(index);
+            fleet.run(std::chrono::milliseconds(500 + random() % 6000), random() % 2 ? hotDemand : 0);
+        }
+        CHECK(fleet.peak() <= allowed(largeBurst));
+    }
+}
+
 TEST_CASE("acquire, cuts, kills, stops and returns at random under high demand, stay within the limit")
 {
     for (std::uint32_t seed = 1; seed <= 12; ++seed) {
