--- a/scripts/fleet/site.py
+++ b/scripts/fleet/site.py
@@ -9,9 +9,7 @@
 import random
 import re
 import resource
-import signal
 import socket
-import struct
 import subprocess
 import tempfile
 import time
@@ -136,7 +134,7 @@
 
 
 class Host:
-    """One host as a process. `findings` lists ends that nobody asked for."""
+    """One host as a process, with the limits of its machine. `stopping` says that its end was asked for."""
 
     def __init__(self, deployment, name, zone, address, limits):
         self.deployment, self.name, self.zone, self.address, self.limits = deployment, name, zone, address, limits
