Deadlines end responses whose data is always there

Callers saw: no answer at the deadline while a server sent chunks without end that hardly grow the body.

Cause: a tcp_stream's timeout is a wait that each read starts and cancels, so that reads that complete at once never time out.

Change: ConnectionDeadline closes the stream at the deadline of a request to a backend server and of a call to the store.

--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -1,5 +1,7 @@
 #include "AsioHttpCalls.h"
 
+#include "ConnectionDeadline.h"
+
 namespace lacewingsail::internal {
 
 namespace {
@@ -72,6 +74,7 @@
     }
     connection->busy = true;
     connection->stream.expires_after(timeout);
+    const ConnectionDeadline callDeadline(m_context, connection, timeout);
     const auto message = makeMessage(request, m_endpoint);
     ResponseParser parser;
     parser.body_limit(maxResponseBytes);
@@ -79,6 +82,8 @@
         co_await http::async_write(connection->stream, message, net::redirect_error(net::use_awaitable, error));
     if (!error)
         co_await http::async_read(connection->stream, connection->buffer, parser, net::redirect_error(net::use_awaitable, error));
+    if (callDeadline.expired())
+        error = beast::error::timeout;
     connection->busy = false;
     connection->stream.expires_never();
     if (error || !parser.keep_alive())
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -1,5 +1,6 @@
 #include "BackendAttempt.h"
 
+#include "ConnectionDeadline.h"
 #include "HopByHopHeaders.h"
 
 #include <lacewingsail/Http.h>
@@ -402,13 +403,14 @@
     const auto message = std::make_shared<RequestMessage>(messageFor(services, *request, *server));
     const auto written = std::make_shared<bool>(false);
     http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
+    const ConnectionDeadline requestDeadline(services.context, connection, deadline - startedAt);
     StallWatch watch(services, connection, std::move(stallPolicy));
     boost::system::error_code error;
     auto complete = co_await readMatchingResponse(services, *request, *server, *connection, error);
     request->cancelAttempt = nullptr;
     if (error || !complete) {
         connection->stream.close();
-        co_return reportFailure(services, *request, *server, watch.abandoned() ? beast::error::timeout : error, startedAt);
+        co_return reportFailure(services, *request, *server, watch.abandoned() || requestDeadline.expired() ? beast::error::timeout : error, startedAt);
     }
     if (statesNotRun(services.headerNames, complete->message))
         recordRefusal(*connection, request->id);
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -38,6 +38,7 @@
     "endless-body": (SIGNED_HEAD + "\r\n", FILLER, 0),
     "endless-chunks": (CHUNKED_HEAD, b"10000\r\n" + FILLER + b"\r\n", 0),
     "endless-small-chunks": (CHUNKED_HEAD, b"1;x=y\r\nx\r\n" * 6000, 0),
+    "endless-extended-chunks": (CHUNKED_HEAD, b"1;" + b"x" * 60000 + b"\r\nx\r\n", 0),
     "endless-chunk-size": (CHUNKED_HEAD, b"0" * 65536, 0),
     "endless-chunk-extension": (CHUNKED_HEAD + "1;", FILLER, 0),
     "endless-last-chunk-extension": (CHUNKED_HEAD + "0;", FILLER, 0),
