The exit of a host does not wait for calls that nobody answers

Cause: calls from other hosts are answered by the event loop. One that is handed over after the loop has ended is never answered, and the shutdown of a gRPC server waits for each of its calls without limit; its deadline only cancels them.

Change: unanswered calls fail before the shutdown, later ones at once. Own calls are cancelled and awaited, since their callbacks use the object.

--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -6,6 +6,10 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <condition_variable>
+#include <mutex>
+#include <set>
+
 namespace lacewingsail {
 
 namespace internal {
@@ -41,42 +45,75 @@
         // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
         grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context, const protocol::ExchangeRequest* request, protocol::ExchangeReply* reply) override
         {
-            auto* reactor = context->DefaultReactor();
-            m_loop.post([this, request, reply, reactor] {
-                m_handlers.exchange(*request, *reply);
-                reactor->Finish(grpc::Status::OK);
-            });
-            return reactor;
+            return answerOnLoop(*context, [this, request, reply] { m_handlers.exchange(*request, *reply); });
         }
 
         // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
         grpc::ServerUnaryReactor* TakeTokens(grpc::CallbackServerContext* context, const protocol::TokenRequest* request, protocol::TokenReply* reply) override
         {
-            auto* reactor = context->DefaultReactor();
-            m_loop.post([this, request, reply, reactor] {
+            return answerOnLoop(*context, [this, request, reply] {
                 const auto result = m_handlers.grantTokens({ ClientAccountId(request->account()), static_cast<int>(request->wanted()) });
                 reply->set_unknown(!result);
                 if (result) {
                     reply->set_granted(static_cast<std::uint32_t>(result->granted));
                     reply->set_retry_after_ms(static_cast<std::uint32_t>(result->retryAfter.count()));
                 }
-                reactor->Finish(grpc::Status::OK);
             });
-            return reactor;
         }
 
         // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
         grpc::ServerUnaryReactor* Place(grpc::CallbackServerContext* context, const protocol::PlaceRequest* request, protocol::PlaceReply* reply) override
         {
-            auto* reactor = context->DefaultReactor();
-            m_loop.post([this, request, reply, reactor] {
-                handlePlace(*request, *reply);
+            return answerOnLoop(*context, [this, request, reply] { handlePlace(*request, *reply); });
+        }
+
+        /// \brief Fails all calls that are not answered, and those that still come. To be called once the event loop runs no more:
+        /// the shutdown of a server waits until each of its calls has been answered.
+        void close()
+        {
+            std::set<grpc::ServerUnaryReactor*> unanswered;
+            {
+                const std::lock_guard lock(m_mutex);
+                m_closed = true;
+                unanswered.swap(m_unanswered);
+            }
+            for (grpc::ServerUnaryReactor* reactor : unanswered)
+                reactor->Finish(stopped());
+        }
+
+    private:
+        static grpc::Status stopped() { return { grpc::StatusCode::UNAVAILABLE, "the host has stopped" }; }
+
+        template <typename Answer>
+        grpc::ServerUnaryReactor* answerOnLoop(grpc::CallbackServerContext& context, Answer answer)
+        {
+            auto* reactor = context.DefaultReactor();
+            if (!recordUnanswered(reactor)) {
+                reactor->Finish(stopped());
+                return reactor;
+            }
+            m_loop.post([this, reactor, answer = std::move(answer)] {
+                // A call that has failed meanwhile takes its messages with it.
+                if (!takeUnanswered(reactor))
+                    return;
+                answer();
                 reactor->Finish(grpc::Status::OK);
             });
             return reactor;
         }
 
-    private:
+        bool recordUnanswered(grpc::ServerUnaryReactor* reactor)
+        {
+            const std::lock_guard lock(m_mutex);
+            return !m_closed && m_unanswered.insert(reactor).second;
+        }
+
+        bool takeUnanswered(grpc::ServerUnaryReactor* reactor)
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_unanswered.erase(reactor) != 0;
+        }
+
         void handlePlace(const protocol::PlaceRequest& request, protocol::PlaceReply& reply)
         {
             std::vector<PlacementOutcome> outcomes;
@@ -99,6 +136,40 @@
 
         EventLoop& m_loop;
         GatewayCalls::Handlers m_handlers;
+        std::mutex m_mutex;
+        std::set<grpc::ServerUnaryReactor*> m_unanswered;
+        bool m_closed = false;
+    };
+
+    /// \brief The calls of this host to others that are in flight.
+    class OutgoingCalls {
+    public:
+        void add(grpc::ClientContext& context)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_contexts.insert(&context);
+        }
+
+        void remove(grpc::ClientContext& context)
+        {
+            const std::lock_guard lock(m_mutex);
+            m_contexts.erase(&context);
+            m_removed.notify_all();
+        }
+
+        /// \brief Cancels all calls and waits until they have ended.
+        void cancelAll()
+        {
+            std::unique_lock lock(m_mutex);
+            for (grpc::ClientContext* context : m_contexts)
+                context->TryCancel();
+            m_removed.wait(lock, [this] { return m_contexts.empty(); });
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::condition_variable m_removed;
+        std::set<grpc::ClientContext*> m_contexts;
     };
 
 } // namespace internal
@@ -106,17 +177,34 @@
 struct GatewayCalls::Implementation {
     EventLoop& loop;
     internal::GatewayService service;
+    internal::OutgoingCalls outgoing;
     PeerChannels channels;
     std::unique_ptr<PeerServer> server;
+
+    /// \returns a function that ends \p call and passes on to the event loop whether it was answered.
+    template <typename CallPointer, typename Callback>
+    auto onEnd(CallPointer call, Callback callback)
+    {
+        outgoing.add(call->context);
+        return [this, call, callback = std::move(callback)](const grpc::Status& status) {
+            loop.post([call, callback, ok = status.ok()] { callback(ok); });
+            outgoing.remove(call->context);
+        };
+    }
 };
 
 GatewayCalls::GatewayCalls(EventLoop& loop, const Endpoint& listen, Handlers handlers, std::error_code& error)
-    : m_implementation(new Implementation { loop, { loop, std::move(handlers) }, {}, nullptr })
+    : m_implementation(new Implementation { loop, { loop, std::move(handlers) }, {}, {}, nullptr })
 {
     m_implementation->server = std::make_unique<PeerServer>(listen, std::vector<grpc::Service*> { &m_implementation->service }, error);
 }
 
-GatewayCalls::~GatewayCalls() = default;
+GatewayCalls::~GatewayCalls()
+{
+    m_implementation->service.close();
+    m_implementation->server.reset();
+    m_implementation->outgoing.cancelAll();
+}
 
 void GatewayCalls::exchange(const Endpoint& endpoint, std::unique_ptr<protocol::ExchangeRequest> request, ExchangeCallback callback)
 {
@@ -125,9 +213,9 @@
     call->request = std::move(request);
     call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
     protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Exchange(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
-        m_implementation->loop.post([call, callback, ok = status.ok()] { callback(ok ? &call->reply : nullptr); });
-    });
+    stub.async()->Exchange(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+        callback(ok ? &call->reply : nullptr);
+    }));
 }
 
 void GatewayCalls::requestTokens(const Endpoint& endpoint, const TokenDemand& demand, TokenCallback callback)
@@ -139,13 +227,11 @@
     call->request->set_wanted(static_cast<std::uint32_t>(demand.wanted));
     call->context.set_deadline(std::chrono::system_clock::now() + internal::tokenTimeout);
     protocol::Gateways::Stub stub(call->channel);
-    stub.async()->TakeTokens(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
-        m_implementation->loop.post([call, callback, ok = status.ok()] {
-            if (!ok || call->reply.unknown())
-                return callback({ ok, std::nullopt });
-            callback({ ok, TokenGrant { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) } });
-        });
-    });
+    stub.async()->TakeTokens(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+        if (!ok || call->reply.unknown())
+            return callback({ ok, std::nullopt });
+        callback({ ok, TokenGrant { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) } });
+    }));
 }
 
 namespace internal {
@@ -180,11 +266,9 @@
     internal::encode(cell, demand, *call->request->mutable_demand());
     call->context.set_deadline(std::chrono::system_clock::now() + internal::placementTimeout);
     protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Place(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
-        m_implementation->loop.post([call, callback, ok = status.ok()] {
-            callback({ ok, ok ? internal::decodePlaceReply(call->reply) : std::nullopt });
-        });
-    });
+    stub.async()->Place(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+        callback({ ok, ok ? internal::decodePlaceReply(call->reply) : std::nullopt });
+    }));
 }
 
 void GatewayCalls::reportOutcomes(const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes, DeliveryCallback callback)
@@ -192,9 +276,7 @@
     const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
     call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
     protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Place(&call->context, call->request.get(), &call->reply, [this, call, callback = std::move(callback)](const grpc::Status& status) {
-        m_implementation->loop.post([callback, ok = status.ok()] { callback(ok); });
-    });
+    stub.async()->Place(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, std::move(callback)));
 }
 
 } // namespace lacewingsail
--- /dev/null
+++ b/tests/GatewayCallsTest.cpp
@@ -0,0 +1,103 @@
+#include "FreePort.h"
+
+#include <lacewingsail/Exchange.h>
+
+#include <lacewingsail/exchange.grpc.pb.h>
+
+#include <doctest/doctest.h>
+
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+
+using namespace lacewingsail;
+using lacewingsail::testing::freePort;
+
+namespace {
+
+/// \brief An event loop whose tasks run when the test says so.
+class HeldLoop final : public EventLoop {
+public:
+    void post(Handler task) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tasks.push_back(std::move(task));
+        m_arrived.notify_all();
+    }
+    void after(std::chrono::milliseconds, Handler task) override { post(std::move(task)); }
+
+    void awaitTask()
+    {
+        std::unique_lock lock(m_mutex);
+        m_arrived.wait(lock, [this] { return !m_tasks.empty(); });
+    }
+
+    std::size_t taskCount()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_tasks.size();
+    }
+
+    void runOne()
+    {
+        awaitTask();
+        std::unique_lock lock(m_mutex);
+        const auto task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_arrived;
+    std::deque<Handler> m_tasks;
+};
+
+struct GatewayCallsFixture {
+    GatewayCalls::Handlers handlers { [](const protocol::ExchangeRequest&, protocol::ExchangeReply&) {}, [](const TokenDemand&) { return std::optional<TokenGrant>(); },
+        [](const PlacementCell&, const PlacementDemand&) { return std::optional<PlacementDecision>(); }, [](std::span<const PlacementOutcome>) {} };
+    HeldLoop callerLoop;
+    HeldLoop calledLoop;
+    Endpoint calledEndpoint { "127.0.0.1", freePort() };
+    std::error_code error;
+    std::unique_ptr<GatewayCalls> caller = std::make_unique<GatewayCalls>(callerLoop, Endpoint { "127.0.0.1", freePort() }, handlers, error);
+    std::unique_ptr<GatewayCalls> called = std::make_unique<GatewayCalls>(calledLoop, calledEndpoint, handlers, error);
+
+    GatewayCallsFixture() { REQUIRE_FALSE(error); }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayCallsFixture, "exchange, called host answers, reply reaches the caller's loop")
+{
+    bool answered = false;
+    caller->exchange(calledEndpoint, std::make_unique<protocol::ExchangeRequest>(), [&](const protocol::ExchangeReply* reply) { answered = reply != nullptr; });
+    calledLoop.runOne();
+    callerLoop.runOne();
+    CHECK(answered);
+}
+
+// The event loop of a host that stops runs no further tasks. The shutdown of its server must not wait for their answers.
+TEST_CASE_FIXTURE(GatewayCallsFixture, "destructor, call that the event loop does not answer any more, fails the call and returns")
+{
+    bool failed = false;
+    caller->exchange(calledEndpoint, std::make_unique<protocol::ExchangeRequest>(), [&](const protocol::ExchangeReply* reply) { failed = reply == nullptr; });
+    calledLoop.awaitTask();
+    called.reset();
+    callerLoop.runOne();
+    CHECK(failed);
+}
+
+// The callback of a call runs on a thread of the library, which the destruction must not leave behind.
+TEST_CASE_FIXTURE(GatewayCallsFixture, "destructor, own call in flight, cancels the call before it returns")
+{
+    bool failed = false;
+    caller->exchange(calledEndpoint, std::make_unique<protocol::ExchangeRequest>(), [&](const protocol::ExchangeReply* reply) { failed = reply == nullptr; });
+    calledLoop.awaitTask();
+    caller.reset();
+    CHECK(callerLoop.taskCount() == 1);
+    callerLoop.runOne();
+    CHECK(failed);
+}
--- a/tests/SlowConnectionTest.cpp
+++ b/tests/SlowConnectionTest.cpp
@@ -1,3 +1,5 @@
+#include "FreePort.h"
+
 #include <lacewingsail/Exchange.h>
 #include <lacewingsail/exchange.pb.h>
 
@@ -13,6 +15,8 @@
 
 using namespace lacewingsail;
 using namespace std::chrono_literals;
+using lacewingsail::testing::freePort;
+using lacewingsail::testing::loopback;
 
 namespace {
 
@@ -23,26 +27,6 @@
     void after(std::chrono::milliseconds, Handler) override { }
 };
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
-std::uint16_t freePort()
-{
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof address;
-    REQUIRE(::bind(socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
-    REQUIRE(::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) == 0);
-    ::close(socket);
-    return ntohs(address.sin_port);
-}
-
 /// \brief Accepts connections at once and passes on their bytes only after a delay, like a host that is short of processor time.
 class SlowHost {
 public:
