--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -73,7 +73,7 @@
             connection->stream.socket().set_option(net::ip::tcp::no_delay(true), error);
     }
     connection->busy = true;
-    connection->stream.expires_after(timeout);
+    connection->stream.expires_never();
     const ConnectionDeadline callDeadline(m_context, connection, timeout);
     const auto message = makeMessage(request, m_endpoint);
     ResponseParser parser;
@@ -85,7 +85,6 @@
     if (callDeadline.expired())
         error = beast::error::timeout;
     connection->busy = false;
-    connection->stream.expires_never();
     if (error || !parser.keep_alive())
         connection->stream.close();
     if (error)
--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.h
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.h
@@ -17,9 +17,6 @@
     void call(std::size_t lane, HttpRequest, std::chrono::milliseconds timeout, Answer) override;
 
 private:
-    /// Bytes of a response that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
-    static constexpr std::size_t maxUnparsedBytes = 64 * 1024;
-
     struct Connection {
         explicit Connection(net::io_context& context)
             : stream(context)
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -3,8 +3,6 @@
 #include "ConnectionDeadline.h"
 #include "HopByHopHeaders.h"
 
-#include <lacewingsail/Http.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -68,7 +66,7 @@
                     if (!locked || *state != State::Waiting)
                         return false;
                     *state = State::Abandoned;
-                    locked->stream.cancel();
+                    locked->stream.close();
                     return true;
                 });
             });
@@ -102,7 +100,7 @@
         connection->stream.expires_after(std::min<Duration>(deadline - services.clock.now(), connectTimeout));
         request.cancelAttempt = [weak = std::weak_ptr(connection)] {
             if (const auto locked = weak.lock())
-                locked->stream.cancel();
+                locked->stream.close();
         };
         boost::system::error_code error;
         const auto address = net::ip::make_address(server.registration.endpoint.address, error);
@@ -172,7 +170,7 @@
     {
         for (int interim = 0; interim <= maxInterimResponses; ++interim) {
             ResponseParser parser;
-            parser.header_limit(maxUnparsedResponseBytes);
+            parser.header_limit(maxUnparsedBytes);
             parser.body_limit(buffers.maxBytes());
             parser.skip(method == http::verb::head);
             co_await readWithin(buffers, connection, parser, error);
@@ -393,17 +391,17 @@
         co_return AttemptReport { AttemptStatus::NotSent, ResultCode::NoBackendServer, {}, {} };
     request->cancelAttempt = [weak = std::weak_ptr(connection)] {
         if (const auto locked = weak.lock())
-            locked->stream.cancel();
+            locked->stream.close();
     };
     const MonotonicTime startedAt = services.clock.now();
-    connection->stream.expires_after(deadline - startedAt);
+    connection->stream.expires_never();
+    const ConnectionDeadline requestDeadline(services.context, connection, deadline - startedAt);
     request->attemptedServers.push_back(server->registration.id);
     ++request->possibleExecutions;
     // Writes and reads concurrently, as a server may respond before it has read a long body.
     const auto message = std::make_shared<RequestMessage>(messageFor(services, *request, *server));
     const auto written = std::make_shared<bool>(false);
     http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
-    const ConnectionDeadline requestDeadline(services.context, connection, deadline - startedAt);
     StallWatch watch(services, connection, std::move(stallPolicy));
     boost::system::error_code error;
     auto complete = co_await readMatchingResponse(services, *request, *server, *connection, error);
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -3,6 +3,7 @@
 #include "Asio.h"
 
 #include <lacewingsail/Exchange.h>
+#include <lacewingsail/Http.h>
 
 #include <deque>
 #include <map>
@@ -12,9 +13,6 @@
 
 namespace lacewingsail::internal {
 
-/// Bytes of a response that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
-constexpr std::size_t maxUnparsedResponseBytes = 64 * 1024;
-
 /// \brief An open connection to a backend server.
 struct BackendConnection {
     explicit BackendConnection(net::io_context& context)
@@ -23,7 +21,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer { maxUnparsedResponseBytes };
+    beast::flat_buffer buffer { maxUnparsedBytes };
     MonotonicTime idleSince {};
     /// Until then the server is expected to keep it open while it is idle.
     MonotonicTime openUntil {};
--- a/packages/gateway/lacewingsail/src/Gateway/ConnectionDeadline.h
+++ b/packages/gateway/lacewingsail/src/Gateway/ConnectionDeadline.h
@@ -8,7 +8,8 @@
 
 /// \brief Closes the stream of a connection when its time is over, unless this object has been destroyed by then.
 ///
-/// The timeout of a beast::tcp_stream does not end reads that complete at once, as those from a peer do that sends without end.
+/// The timeout of a beast::tcp_stream, and the cancellation of its operations, do not end reads that complete at once, as those
+/// from a peer do that sends without end.
 template <typename Connection>
 class ConnectionDeadline {
 public:
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -142,10 +142,10 @@
 
 net::awaitable<void> GatewayHost::Implementation::accept()
 {
-    for (;;) {
+    while (acceptor.is_open()) {
         boost::system::error_code error;
         auto socket = co_await acceptor.async_accept(net::redirect_error(net::use_awaitable, error));
-        if (error == net::error::operation_aborted || (error && !acceptor.is_open()))
+        if (error == net::error::operation_aborted)
             co_return;
         if (error) {
             log(Event("accept-failed").with("reason", error.message()));
@@ -154,8 +154,6 @@
             continue;
         }
         std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
-        if (!acceptor.is_open())
-            co_return;
     }
 }
 
@@ -170,6 +168,8 @@
         if (!error)
             std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
     }
+    if (error != net::error::would_block)
+        log(Event("accept-failed").with("reason", error.message()));
     acceptor.close(error);
 }
 
@@ -338,10 +338,10 @@
     }
     const bool empty = now >= balancerReactedAt(stop) && connections.open.empty();
     // What has been accepted by then still gets its response.
-    const bool accepted = acceptor.is_open();
-    if (accepted && (empty || now >= finalResponsesAt(stop)))
+    const bool listening = acceptor.is_open();
+    if (listening && (empty || now >= finalResponsesAt(stop)))
         stopAccepting();
-    if ((empty && !accepted) || (now >= exitsAt(stop) && !endsRequests)) {
+    if ((empty && !listening) || (now >= exitsAt(stop) && !endsRequests)) {
         for (const auto& connection : connections.open)
             connection->logUnanswered();
         log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
--- a/packages/http/lacewingsail/src/Http/HttpClient.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpClient.cpp
@@ -13,9 +13,6 @@
 
 namespace internal {
 
-    // Bytes that are kept until they can be parsed: a header, the line before a chunk, or a trailer.
-    constexpr std::size_t largestUnparsedResponse = 64 * 1024;
-
     struct ControlConnection {
         explicit ControlConnection(net::io_context& context)
             : stream(context)
@@ -23,7 +20,7 @@
         }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer { largestUnparsedResponse };
+        beast::flat_buffer buffer { maxUnparsedBytes };
         bool open = false;
     };
 
--- a/packages/http/lacewingsail/src/Http/HttpServer.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpServer.cpp
@@ -23,8 +23,6 @@
 namespace internal {
 
     constexpr std::chrono::seconds controlTimeout { 60 };
-    // Bytes that are kept until they can be parsed: a header, the line before a chunk, or a trailer.
-    constexpr std::size_t largestUnparsedRequest = 64 * 1024;
 
     HttpRequest fromBeast(http::request<http::string_body> message)
     {
@@ -52,7 +50,7 @@
 
     net::awaitable<void> serveControl(beast::tcp_stream stream, const HttpServer::Handler& handler, std::uint64_t largestBody)
     {
-        beast::flat_buffer buffer(largestUnparsedRequest);
+        beast::flat_buffer buffer(maxUnparsedBytes);
         bool keepAlive = true;
         while (keepAlive) {
             http::request_parser<http::string_body> parser;
--- a/packages/http/lacewingsail/src/Http/RawHeader.h
+++ b/packages/http/lacewingsail/src/Http/RawHeader.h
@@ -7,6 +7,9 @@
 
 namespace lacewingsail {
 
+/// Bytes of a message that a connection keeps until they can be parsed: its header, the line before a chunk, or the trailer.
+constexpr std::size_t maxUnparsedBytes = 64 * 1024;
+
 /// \returns the size of the header at the front of \p bytes with its empty line, or npos while that has not arrived.
 /// Bare line feeds end a header too, so that it can be refused at once.
 std::size_t rawHeaderSize(std::string_view bytes);
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -1,7 +1,5 @@
 #include "Attempt.h"
 
-#include <lacewingsail/Http.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -65,7 +63,7 @@
     std::unique_ptr<EmptyParser> newParser(http::verb method)
     {
         auto parser = std::make_unique<EmptyParser>();
-        parser->header_limit(largestUnparsedAnswer);
+        parser->header_limit(maxUnparsedBytes);
         parser->body_limit(boost::none);
         parser->skip(method == http::verb::head);
         return parser;
--- a/packages/proxy/lacewingsail/src/Proxy/UpstreamPool.h
+++ b/packages/proxy/lacewingsail/src/Proxy/UpstreamPool.h
@@ -2,6 +2,7 @@
 
 #include "Asio.h"
 
+#include <lacewingsail/Http.h>
 #include <lacewingsail/Policy.h>
 #include <lacewingsail/World.h>
 
@@ -11,9 +12,6 @@
 
 namespace lacewingsail::internal {
 
-/// Bytes of an answer that are kept until they can be parsed: its header, the line before a chunk, or the trailer.
-constexpr std::size_t largestUnparsedAnswer = 64 * 1024;
-
 /// \brief A connection to a backend server.
 struct UpstreamConnection {
     explicit UpstreamConnection(net::io_context& context)
@@ -22,7 +20,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer { largestUnparsedAnswer };
+    beast::flat_buffer buffer { maxUnparsedBytes };
 };
 
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -25,7 +25,7 @@
     constexpr int exitUsage = 2;
     constexpr int exitFailure = 1;
     constexpr std::chrono::milliseconds drainCheckInterval { 50 };
-    // Threads other than the event loop's only hand messages on.
+    // The event loop has the main thread; the others decode and hand on messages.
     constexpr std::size_t threadStackBytes = 512 * 1024;
     constexpr int memoryArenas = 1;
 
--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -64,6 +64,18 @@
     CHECK(fixture.requestCount() == 1);
 }
 
+// A statement that is broken off inside a field, and the answer behind it, look like one message.
+TEST_CASE("relay, refusal runs into the answer to a booking, is unknown and sent once")
+{
+    const ProxyFixture fixture([](const std::string&, int) -> ScriptedBackend::Reply {
+        return { "HTTP/1.1 503 X\r\nX-Not-Run: 1" + header(201, 5) + "whole", Then::GoOn };
+    });
+    const std::string answer = fixture.exchange(post);
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(has(answer, "X-Lacewingsail-Execution: unknown"));
+    CHECK(fixture.requestCount() == 1);
+}
+
 TEST_CASE("relay, download breaks off with a strong validator, is continued byte for byte")
 {
     const ProxyFixture fixture(download("\"v1\"", "\"v1\"", 100'000, Then::Close));
