Crashes leave a stack trace, and stops say what they dropped

Callers saw requests without an answer, and a process that had ended; the logs could not tell why. A crash left no line, host-stopped did not say how long the stop had taken, and data that came after the close of a connection was dropped without a word.

glog's failure handler now writes the signal and a stack trace to the standard error stream, host-stopped has took_ms, and late-data-discarded is logged once a connection.

tests/gateway_test.py crash_of_a_host_leaves_a_stack_trace failed before with "no stack trace" and passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include <lacewingsail/Http.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingsail::internal {
 
@@ -137,6 +138,8 @@
     }
     if (!m_closing)
         m_buffer.commit(read);
+    else if (!std::exchange(m_discarded, true))
+        log(Event("late-data-discarded").with("bytes", static_cast<long long>(read)).with("planned_stop", m_connections.plannedStop ? "yes" : "no"));
     co_return true;
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -79,6 +79,8 @@
     bool m_closing = false;
     bool m_timedOut = false;
     bool m_readerEnded = false;
+    /// Whether data that came after the last response has been discarded and logged.
+    bool m_discarded = false;
 };
 
 } // namespace lacewingsail::internal
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -344,7 +344,8 @@
     if ((empty && !listening) || (now >= exitsAt(stop) && !endsRequests)) {
         for (const auto& connection : connections.open)
             connection->logUnanswered();
-        log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(clock.now() - stop.startedAt);
+        log(Event("host-stopped").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())).with("took_ms", took.count()));
         return loop.context().stop();
     }
     loop.after(internal::drainCheckInterval, [this] { checkDrained(); });
--- a/packages/observe/lacewingsail/src/Observe/Event.cpp
+++ b/packages/observe/lacewingsail/src/Observe/Event.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <chrono>
+#include <csignal>
 
 namespace lacewingsail {
 
@@ -69,6 +70,13 @@
     google::InitGoogleLogging(program);
 }
 
+void reportCrashes()
+{
+    google::InstallFailureSignalHandler();
+    // For the library a termination on request is a failure, too.
+    std::signal(SIGTERM, SIG_DFL);
+}
+
 void log(const Event& event) { logLine(event.line()); }
 
 void redirectLog(std::function<void(std::string_view)> sink) { internal::logSink() = std::move(sink); }
--- a/packages/observe/lacewingsail/src/Observe/Event.h
+++ b/packages/observe/lacewingsail/src/Observe/Event.h
@@ -30,6 +30,10 @@
 /// \brief Sends log lines to the standard error stream, one event a line, each with its time.
 void startLog(const char* program);
 
+/// \brief Writes a stack trace to the standard error stream when a signal such as SIGSEGV or SIGABRT ends the process. To be called
+/// before signals are handled.
+void reportCrashes();
+
 /// \brief Sends log lines to \p sink from now on, in place of the standard error stream. To be called before any other
 /// thread starts.
 void redirectLog(std::function<void(std::string_view line)> sink);
--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -157,6 +157,7 @@
         Options options;
         if (!parseOptions(argumentCount, arguments, options))
             return exitUsage;
+        reportCrashes();
         if (options.gateway)
             return runGateway(options.checkOnly);
         auto settings = readHostSettings(options.settingsFile);
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import signal
 import sys
 import threading
 import time
@@ -356,6 +357,15 @@
     fixture.hosts.pop()
 
 
+def crash_of_a_host_leaves_a_stack_trace(fixture):
+    host = Gateway("crashing", "a", fixture.store, fixture.directory, BUILD)
+    host.await_ready()
+    host.process.child.send_signal(signal.SIGSEGV)
+    check(host.process.wait() == -signal.SIGSEGV, "exit code")
+    with open(host.process.log_path, encoding="utf-8") as log:
+        check("*** SIGSEGV" in log.read(), "no stack trace")
+
+
 def refused_request_is_logged(fixture):
     response = send_request(fixture.hosts[0].callers, "GET", "/nowhere/2")
     wait_until(lambda: any(f"request={response.request_id}" in line and "code=no-route" in line for line in fixture.hosts[0].log_lines()),
@@ -370,7 +380,7 @@
          configuration_and_key_changes_reach_all_hosts, withdrawal_of_the_last_account_closes_its_routes,
          host_starts_and_serves_within_the_address_space_of_a_small_host, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
-         planned_stop_waits_for_slow_response]
+         planned_stop_waits_for_slow_response, crash_of_a_host_leaves_a_stack_trace]
 
 
 if __name__ == "__main__":
