Refuse by its header a request that cannot be served

Callers saw: with many uploads at once without a valid key, or on an unknown route, most got 503 instead of 401 or 404; unfinished ones got no answer before their body ended; uploads with a key were refused beside them.

Cause: key, route, planned stop and servers were looked at once the body was complete, so that all bodies took part in the memory for bodies.

A request whose body has not arrived with its header is now checked when the header is complete. If it cannot be served, its response goes out in its turn, and the rest of its body is read and dropped. Up to 64 KB of a body of known length are dropped on a kept connection. Beyond that, with chunks, and with Expect, the response closes the connection, which lingers as after any closing response. When the body is complete, the check is made again: if the configuration has changed meanwhile, key, route and service are looked up anew, so that a withdrawn key stops. Time and deadline still count from the end of the body.

Failed before, tests/request_bodies_test.py: uploads_with_an_unknown_key_are_refused_before_their_end: {None: 16, 503: 8} uploads_on_an_unknown_route_are_refused_before_their_end: {503: 8, None: 16} uploads_with_a_key_are_served_beside_those_without: with a key: [503, 503, 503, 503] refused_caller_that_waits_for_an_interim_response_gets_none: status 100 refused_upload_gets_its_response_after_earlier_ones: timed out tests/planned_stop_test.py: upload_that_may_outlast_a_stop_is_refused_before_its_end: timed out They pass after. Two further cases passed before and after: the kept connection of a small body, and a key withdrawn during an upload.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -19,6 +19,8 @@
     constexpr std::chrono::seconds bodyTimeout { 20 };
     // Other bodies, whose memory a refused one can get, end within about this time.
     constexpr std::chrono::milliseconds bodyMemoryRetryDelay { 500 };
+    // Of a body that is not needed, this much is read to keep the connection: closing it would cost the caller more.
+    constexpr std::size_t maxDiscardedBytes = 64 * 1024;
     // Callers reuse a connection for up to four fifths of the configured idle timeout. The margin allows for delays of
     // a slow host.
     constexpr std::chrono::seconds idleMargin { 1 };
@@ -47,10 +49,34 @@
         return error == http::error::end_of_stream || error == http::error::partial_message || error.category() == net::error::get_system_category() || error.category() == net::error::get_misc_category();
     }
 
+    // Parses what has arrived together with the header.
+    void parseBufferedBody(beast::flat_buffer& buffer, RequestParser& parser, boost::system::error_code& error)
+    {
+        parser.eager(true);
+        if (buffer.size() > 0)
+            buffer.consume(parser.put(buffer.data(), error));
+        if (error == http::error::need_more)
+            error = {};
+    }
+
+    // A caller that waits for an interim response may leave its body out, and the end of a chunked one is not known.
+    bool isWorthDiscarding(const RequestParser& parser)
+    {
+        const auto remaining = parser.content_length_remaining();
+        return parser.get().keep_alive() && parser.get().count(http::field::expect) == 0 && remaining && *remaining <= maxDiscardedBytes;
+    }
+
+    net::awaitable<void> discardBody(net::ip::tcp::socket& socket, beast::flat_buffer& buffer, RequestParser& parser, boost::system::error_code& error)
+    {
+        while (!parser.is_done() && !error) {
+            co_await http::async_read_some(socket, buffer, parser, net::redirect_error(net::use_awaitable, error));
+            parser.get().body().clear();
+        }
+    }
+
     // Reads step by step, as the memory for all messages together is limited.
     net::awaitable<void> readBody(net::ip::tcp::socket& socket, beast::flat_buffer& buffer, RequestParser& parser, MessageBuffers::Reservation& memory, boost::system::error_code& error)
     {
-        parser.eager(true);
         while (!parser.is_done() && !error) {
             co_await http::async_read_some(socket, buffer, parser, net::redirect_error(net::use_awaitable, error));
             if (!error && !memory.resize(parser.get().body().size()))
@@ -186,13 +212,31 @@
     const bool valid = !error && parser.get().version() == 11 && hasUnambiguousFraming(parser.get()) && parser.get().count(http::field::host) == 1 && parser.get().count(http::field::authorization) <= 1 && parser.get().target().starts_with('/');
     if (!error && !valid)
         error = http::error::bad_field;
-    m_interimResponseDue = !error && !parser.is_done() && parser.get().count(http::field::expect) != 0;
-    writeInterimResponse();
-    std::shared_ptr<MessageBuffers::Reservation> bodyMemory;
+    const bool hasBody = !error && !parser.is_done();
+    const auto request = std::make_shared<RequestState>();
+    if (hasBody)
+        parseBufferedBody(m_buffer, parser, error);
+    // What has arrived with its header needs no further memory: such a request is refused as one without body is.
     if (!error && !parser.is_done()) {
         startTimer(bodyTimeout);
-        bodyMemory = std::make_shared<MessageBuffers::Reservation>(m_services.requestBuffers);
-        co_await readBody(m_socket, m_buffer, parser, *bodyMemory, error);
+        const bool keepsConnection = isWorthDiscarding(parser);
+        request->message.base() = parser.get().base();
+        if (refuseBeforeBody(request, keepsConnection)) {
+            parser.get().body().clear();
+            if (!m_closing)
+                co_await discardBody(m_socket, m_buffer, parser, error);
+            if (error)
+                onCallerDisconnected();
+            co_return !error;
+        }
+        m_interimResponseDue = parser.get().count(http::field::expect) != 0;
+        writeInterimResponse();
+    }
+    if (hasBody && !error) {
+        request->bodyMemory = std::make_shared<MessageBuffers::Reservation>(m_services.requestBuffers);
+        if (!request->bodyMemory->resize(parser.get().body().size()))
+            error = bodyMemoryExhausted;
+        co_await readBody(m_socket, m_buffer, parser, *request->bodyMemory, error);
     }
     m_timer.cancel();
     m_interimResponseDue = false;
@@ -206,7 +250,8 @@
         rejectRequest(resultCodeFor(error), parser.get()[m_services.headerNames.requestId]);
         co_return false;
     }
-    enqueueRequest(parser.release(), std::move(bodyMemory));
+    request->message = parser.release();
+    enqueueRequest(request);
     co_return true;
 }
 
@@ -223,16 +268,35 @@
     return true;
 }
 
-void CallerConnection::enqueueRequest(RequestMessage message, std::shared_ptr<MessageBuffers::Reservation> bodyMemory)
+// Callers with a key need the memory for bodies: a request that cannot be served gets its response before its body has arrived.
+bool CallerConnection::refuseBeforeBody(const std::shared_ptr<RequestState>& request, bool keepsConnection)
 {
+    const auto id = request->message[m_services.headerNames.requestId];
+    request->id.assign(id.data(), id.size());
+    request->arrivedAt = m_services.clock.now();
+    auto refusal = refuseByHeader(m_services, *request);
+    if (!refusal)
+        return false;
+    if (closesBeforeNextRequest())
+        return true;
     auto pending = std::make_shared<PendingRequest>();
-    pending->request = std::make_shared<RequestState>();
-    pending->closesConnection = !message.keep_alive();
-    const auto id = message[m_services.headerNames.requestId];
-    pending->request->id.assign(id.data(), id.size());
-    pending->request->message = std::move(message);
-    pending->request->bodyMemory = std::move(bodyMemory);
-    pending->request->arrivedAt = m_services.clock.now();
+    pending->request = request;
+    pending->closesConnection = !keepsConnection;
+    m_closing = !keepsConnection;
+    finishRequest(*pending, std::move(*refusal));
+    m_pending.push_back(std::move(pending));
+    writeNextResponse();
+    return true;
+}
+
+void CallerConnection::enqueueRequest(std::shared_ptr<RequestState> request)
+{
+    auto pending = std::make_shared<PendingRequest>();
+    pending->closesConnection = !request->message.keep_alive();
+    const auto id = request->message[m_services.headerNames.requestId];
+    request->id.assign(id.data(), id.size());
+    request->arrivedAt = m_services.clock.now();
+    pending->request = std::move(request);
     m_closing = m_closing || pending->closesConnection;
     m_pending.push_back(pending);
     net::co_spawn(
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -50,7 +50,9 @@
     net::awaitable<bool> waitForData();
     net::awaitable<void> handleRequest(PendingRequestPtr);
     bool closesBeforeNextRequest();
-    void enqueueRequest(RequestMessage, std::shared_ptr<MessageBuffers::Reservation> bodyMemory);
+    void enqueueRequest(std::shared_ptr<RequestState>);
+    /// \returns whether the request was refused.
+    bool refuseBeforeBody(const std::shared_ptr<RequestState>&, bool keepsConnection);
     void finishRequest(PendingRequest&, RequestResult);
     void rejectRequest(ResultCode, const std::string& requestId);
     void writeInterimResponse();
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -439,26 +439,38 @@
     return failRequest(services, request, ResultCode::ShuttingDown, jitteredDelay(services, refusedRetryDelay));
 }
 
+std::optional<RequestResult> refuseByHeader(RequestServices& services, RequestState& request)
+{
+    const auto& current = services.active.current();
+    if (!current)
+        return failRequest(services, request, ResultCode::NoConfiguration, jitteredDelay(services, noConfigurationRetryDelay));
+    // The service stays the one that was chosen: choosing again would shift the shares of a split route.
+    if (request.configuration != current) {
+        request.configuration = current;
+        request.account = nullptr;
+        const auto host = request.message[http::field::host];
+        const auto target = request.message.target();
+        request.route = findRoute(current->routes, { host.data(), host.size() }, { target.data(), target.size() });
+        if (!request.route)
+            return failNotFound(services, request, ResultCode::NoRoute);
+        if (const ResultCode code = findAccount(services, request); code != ResultCode::Ok)
+            return failNotFound(services, request, code);
+        request.service = chooseService(*request.route, services.random());
+    }
+    setDeadline(services, request);
+    if (services.plannedStop && !acceptsRequest(*services.plannedStop, services.clock.now(), request.deadline))
+        return failRequest(services, request, ResultCode::ShuttingDown, jitteredDelay(services, refusedRetryDelay));
+    if (services.backends.serversForService(request.service).empty())
+        return failRequest(services, request, ResultCode::NoBackendServer, jitteredDelay(services, minRetryDelay));
+    if (const auto delay = timeToAcceptance(services, request.service); delay.count() > 0)
+        return failRequest(services, request, ResultCode::Overloaded, jitteredDelay(services, delay));
+    return std::nullopt;
+}
+
 net::awaitable<RequestResult> serveRequest(RequestServices& services, std::shared_ptr<RequestState> request)
 {
-    request->configuration = services.active.current();
-    if (!request->configuration)
-        co_return failRequest(services, *request, ResultCode::NoConfiguration, jitteredDelay(services, noConfigurationRetryDelay));
-    const auto host = request->message[http::field::host];
-    const auto target = request->message.target();
-    request->route = findRoute(request->configuration->routes, { host.data(), host.size() }, { target.data(), target.size() });
-    if (!request->route)
-        co_return failNotFound(services, *request, ResultCode::NoRoute);
-    if (const ResultCode code = findAccount(services, *request); code != ResultCode::Ok)
-        co_return failNotFound(services, *request, code);
-    setDeadline(services, *request);
-    if (services.plannedStop && !acceptsRequest(*services.plannedStop, services.clock.now(), request->deadline))
-        co_return failRequest(services, *request, ResultCode::ShuttingDown, jitteredDelay(services, refusedRetryDelay));
-    request->service = chooseService(*request->route, services.random());
-    if (services.backends.serversForService(request->service).empty())
-        co_return failRequest(services, *request, ResultCode::NoBackendServer, jitteredDelay(services, minRetryDelay));
-    if (const auto delay = timeToAcceptance(services, request->service); delay.count() > 0)
-        co_return failRequest(services, *request, ResultCode::Overloaded, jitteredDelay(services, delay));
+    if (auto refusal = refuseByHeader(services, *request))
+        co_return std::move(*refusal);
     if (request->account && request->account->rate.value > 0) {
         const TokenGrant grant = co_await acquireToken(services, *request->account);
         if (grant.granted == 0)
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -48,7 +48,7 @@
     MonotonicTime arrivedAt {};
     /// The earlier one of the caller's and the route's deadline, less a margin for the delivery of the response.
     MonotonicTime deadline {};
-    /// Stays the same for the whole request.
+    /// The one in force when the request was complete; until then the one by which its header was checked.
     std::shared_ptr<const CompiledConfiguration> configuration;
     const Route* route = nullptr;
     const ClientAccount* account = nullptr;
@@ -71,7 +71,12 @@
     ResponseMessage response;
 };
 
-/// \brief Serves one request. Failures of callers, servers or the network do not throw.
+/// \brief Checks by its header whether a request can be served; its body may be incomplete. \returns the response if it cannot.
+///
+/// May be called again for a request that was not refused: what was found is kept unless the configuration has changed.
+std::optional<RequestResult> refuseByHeader(RequestServices&, RequestState&);
+
+/// \brief Serves one request that is complete. Failures of callers, servers or the network do not throw.
 net::awaitable<RequestResult> serveRequest(RequestServices&, std::shared_ptr<RequestState>);
 
 /// \brief Ends a request whose result has not been determined and cancels its current attempt. \returns the response, which
--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -121,6 +121,22 @@
         check(host.process.wait() == 0, "exit code")
 
 
+def upload_that_may_outlast_a_stop_is_refused_before_its_end(fixture):
+    with StoppingHost(fixture) as host, Caller(host.callers) as occupant:
+        # Keeps the host from ending early.
+        await_execution(fixture, occupant.send("GET", "/long/hang", deadline_ms=LONG_MS))
+        host.process.terminate()
+        time.sleep(BALANCER_REACTION_S + 0.2)
+        with Caller(host.callers) as caller:
+            caller.socket.settimeout(1)
+            request_id = caller.send("POST", "/order/1", deadline_ms=LONG_MS, headers=["Content-Length: 100000"])
+            response = caller.receive()
+            check(response.status == 503 and response.headers.get("Connection") == "close", f"status {response.status}: {response.headers}")
+            check(caller.receive() is None, "the connection was kept")
+        check(host.process.wait() == 0, "exit code")
+        check(not executed(fixture, request_id), "a refused request ran")
+
+
 def request_on_a_connection_accepted_late_in_a_stop_is_answered(fixture):
     with StoppingHost(fixture) as host, Caller(host.callers) as occupant:
         # Keeps the host from ending early.
@@ -210,7 +226,7 @@
 
 
 CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
-         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it, request_on_a_connection_accepted_late_in_a_stop_is_answered,
+         request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it, upload_that_may_outlast_a_stop_is_refused_before_its_end, request_on_a_connection_accepted_late_in_a_stop_is_answered,
          booking_of_a_half_closed_connection_is_answered_during_a_stop, bookings_that_come_during_the_whole_stop_are_answered,
          connections_that_come_while_an_idle_host_exits_are_answered]
 
--- a/tests/request_bodies_test.py
+++ b/tests/request_bodies_test.py
@@ -5,12 +5,13 @@
 import select
 import socket
 import sys
+import threading
 import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from fleet.gateway_fixture import Caller, check, run_cases, send_request
+from fleet.gateway_fixture import ACCOUNTS, ROUTES, Caller, check, run_cases, send_request
 from fleet.platform_standins import LARGE_BYTES, host_and_port
 from fleet.processes import wait_until
 
@@ -18,11 +19,15 @@
 # Together more than the smallest hosts have.
 CALLERS = 240
 HOST_MEMORY_BYTES = 160 << 20
+# Together more than a host holds of bodies.
+REFUSED_UPLOADS = 24
+RESPONSE_S = 1
+SMALL_BYTES = 2000
 
 
-def start_upload(endpoint, number, body):
+def start_upload(endpoint, number, body, path="/book/upload", key="key-n", headers="", length=BODY_BYTES):
     connection = socket.create_connection(host_and_port(endpoint), timeout=10)
-    head = f"POST /book/upload HTTP/1.1\r\nHost: clubs.example\r\nAttempt-Id: upload-{number}\r\nDeadline-Ms: 20000\r\nAuthorization: Token key-n\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+    head = f"POST {path} HTTP/1.1\r\nHost: clubs.example\r\nAttempt-Id: upload-{number}\r\nDeadline-Ms: 20000\r\nAuthorization: Token {key}\r\n{headers}Content-Length: {length}\r\n\r\n"
     try:
         connection.sendall(head.encode() + body)
     except OSError:
@@ -113,7 +118,118 @@
     fixture.set_behaviour("good")
 
 
+def receive_status(connection, timeout_s):
+    """Returns the status of the next response, None if there is none in time, or 0 if the connection has ended."""
+    connection.settimeout(timeout_s)
+    try:
+        line = connection.recv(4096).decode().split("\r\n")[0]
+    except TimeoutError:
+        return None
+    return int(line.split()[1]) if line else 0
+
+
+def check_refused_before_the_end(fixture, path, key, expected):
+    """Starts more uploads at once than the host has memory for, and reads the responses before their bodies end."""
+    host = fixture.hosts[0]
+    uploads = [None] * REFUSED_UPLOADS
+
+    def upload(number):
+        uploads[number] = start_upload(host.callers, f"refused-{number}", bytes(BODY_BYTES - 1), path, key)
+
+    threads = [threading.Thread(target=upload, args=(number,)) for number in range(REFUSED_UPLOADS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    ends_at = time.monotonic() + RESPONSE_S
+    statuses = [receive_status(connection, max(ends_at - time.monotonic(), 0.01)) for connection in uploads]
+    for connection in uploads:
+        connection.close()
+    counts = {status: statuses.count(status) for status in set(statuses)}
+    check(counts == {expected: REFUSED_UPLOADS}, f"{counts}")
+
+
+def uploads_with_an_unknown_key_are_refused_before_their_end(fixture):
+    check_refused_before_the_end(fixture, "/book/upload", "key-unknown", 401)
+
+
+def uploads_on_an_unknown_route_are_refused_before_their_end(fixture):
+    check_refused_before_the_end(fixture, "/nowhere/upload", "key-n", 404)
+
+
+def uploads_with_a_key_are_served_beside_those_without(fixture):
+    host = fixture.hosts[0]
+    unknown = [start_upload(host.callers, f"unknown-{number}", bytes(BODY_BYTES - 1), key="key-unknown") for number in range(REFUSED_UPLOADS)]
+    known = [start_upload(host.callers, f"known-{number}", bytes(BODY_BYTES - 1)) for number in range(4)]
+    for connection in known:
+        connection.sendall(b"x")
+    statuses = [receive_status(connection, 5) for connection in known]
+    check(statuses == [200] * len(known), f"with a key: {statuses}")
+    statuses = [receive_status(connection, RESPONSE_S) for connection in unknown]
+    check(statuses == [401] * len(unknown), f"without: {statuses}")
+    for connection in known + unknown:
+        connection.close()
+
+
+def refused_caller_that_waits_for_an_interim_response_gets_none(fixture):
+    connection = start_upload(fixture.hosts[0].callers, "expecting", b"", key="key-unknown", headers="Expect: 100-continue\r\n")
+    status = receive_status(connection, RESPONSE_S)
+    check(status == 401, f"status {status}")
+    check(receive_status(connection, RESPONSE_S) == 0, "the connection was kept, though its caller may leave the body out")
+    connection.close()
+
+
+def refused_upload_gets_its_response_after_earlier_ones(fixture):
+    fixture.set_behaviour("slow")
+    with Caller(fixture.hosts[0].callers) as caller:
+        first = caller.send("GET", "/look/1")
+        head = f"POST /book/1 HTTP/1.1\r\nHost: clubs.example\r\nAttempt-Id: behind\r\nAuthorization: Token key-unknown\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
+        caller.socket.sendall(head.encode() + bytes(BODY_BYTES // 2))
+        response = caller.receive()
+        check(response.status == 200 and response.headers["Attempt-Id"] == first, f"first status {response.status}")
+        response = caller.receive()
+        check(response.status == 401 and response.headers["Connection"] == "close", f"second status {response.status}: {response.headers}")
+        check(caller.receive() is None, "the connection was kept")
+    fixture.set_behaviour("good")
+
+
+def small_body_of_a_refused_request_keeps_the_connection(fixture):
+    body = bytes(SMALL_BYTES)
+    for parts in ([body], [b"", body], [body[:1], body[1:-1], body[-1:]]):
+        for path, key, expected in (("/book/1", "key-unknown", 401), ("/nowhere/1", "key-n", 404)):
+            connection = start_upload(fixture.hosts[0].callers, "small", parts[0], path, key, length=SMALL_BYTES)
+            for part in parts[1:]:
+                time.sleep(0.02)
+                connection.sendall(part)
+            status = receive_status(connection, RESPONSE_S)
+            check(status == expected, f"status {status} for {path}")
+            connection.sendall(b"GET /look/1 HTTP/1.1\r\nHost: clubs.example\r\nAttempt-Id: behind-small\r\nAuthorization: Token key-n\r\n\r\n")
+            status = receive_status(connection, RESPONSE_S)
+            check(status == 200, f"status {status} behind {path} in {len(parts)} parts")
+            connection.close()
+
+
+def key_that_is_withdrawn_during_an_upload_is_refused(fixture):
+    host = fixture.hosts[0]
+    connection = start_upload(host.callers, "withdrawn", bytes(BODY_BYTES - 1), key="key-s")
+    fixture.publish(ROUTES, ACCOUNTS[:1])
+    wait_until(lambda: send_request(host.callers, "GET", "/look/1", key="key-s").status == 401, "the key to be withdrawn")
+    connection.sendall(b"x")
+    status = receive_status(connection, RESPONSE_S)
+    connection.close()
+    fixture.publish(ROUTES, ACCOUNTS)
+    check(status == 401, f"status {status}")
+    check(not fixture.executions("upload-withdrawn"), "the upload was passed on")
+
+
 CASES = [
+    uploads_with_an_unknown_key_are_refused_before_their_end,
+    uploads_on_an_unknown_route_are_refused_before_their_end,
+    uploads_with_a_key_are_served_beside_those_without,
+    refused_caller_that_waits_for_an_interim_response_gets_none,
+    refused_upload_gets_its_response_after_earlier_ones,
+    small_body_of_a_refused_request_keeps_the_connection,
+    key_that_is_withdrawn_during_an_upload_is_refused,
     interim_response_is_not_written_into_another_response,
     caller_that_waits_for_an_interim_response_gets_it_after_earlier_responses,
     uploads_beyond_the_memory_are_refused_as_not_run,
