A TRACE request with a body is malformed

Callers saw: 502 for such a request, after an exception in its handler (request-handler-failed).

Cause: the message library refuses to frame a TRACE request with a body, which RFC 9110 (9.3.8) forbids callers to send. It is now answered with 400 once its header has been read.

tests/request_bodies_test.py trace_request_with_a_body_is_malformed failed before with "status 502" and passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -210,7 +210,9 @@
     parser.body_limit(callerLimits.bodyBytes);
     co_await http::async_read_header(m_socket, m_buffer, parser, net::redirect_error(net::use_awaitable, error));
     const bool valid = !error && parser.get().version() == 11 && hasUnambiguousFraming(parser.get()) && parser.get().count(http::field::host) == 1 && parser.get().count(http::field::authorization) <= 1 && parser.get().target().starts_with('/');
-    if (!error && !valid)
+    // RFC 9110, 9.3.8: a TRACE request has no body.
+    const bool unexpectedBody = !error && parser.get().method() == http::verb::trace && !parser.is_done();
+    if (!error && (!valid || unexpectedBody))
         error = http::error::bad_field;
     const bool hasBody = !error && !parser.is_done();
     const auto request = std::make_shared<RequestState>();
--- a/tests/request_bodies_test.py
+++ b/tests/request_bodies_test.py
@@ -222,7 +222,14 @@
     check(not fixture.executions("upload-withdrawn"), "the upload was passed on")
 
 
+def trace_request_with_a_body_is_malformed(fixture):
+    response = send_request(fixture.hosts[0].callers, "TRACE", "/look/1", body=b"1234")
+    check(response.status == 400, f"status {response.status}")
+    check(not fixture.executions(response.request_id), "the request was passed on")
+
+
 CASES = [
+    trace_request_with_a_body_is_malformed,
     uploads_with_an_unknown_key_are_refused_before_their_end,
     uploads_on_an_unknown_route_are_refused_before_their_end,
     uploads_with_a_key_are_served_beside_those_without,
