A caller's deadline beyond the range of the clock is the route's

Deadline fields of more than 2^63 ns (2^63 - 1 ms, for example) overflowed when they were added to the time of arrival, which is undefined. A value that is no shorter than the route's deadline is now ignored before it is added.

With RequestPath.cpp built to trap on signed overflow (-fsanitize=signed-integer-overflow -fsanitize-undefined-trap-on-error), tests/gateway_test.py deadline_beyond_all_time_is_that_of_the_route ended the host before, and passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -102,7 +102,9 @@
         const auto field = request.message[services.headerNames.deadline];
         std::int64_t milliseconds = 0;
         const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), milliseconds);
-        if (!field.empty() && error == std::errc {} && milliseconds >= 0)
+        // A larger value may exceed the range of the clock.
+        const bool isShorter = milliseconds < request.route->deadline.count();
+        if (!field.empty() && error == std::errc {} && milliseconds >= 0 && isShorter)
             request.deadline = std::min(request.deadline, request.arrivedAt + std::chrono::milliseconds(milliseconds) - responseMargin);
     }
 
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -144,6 +144,12 @@
     wait_until(lambda: send_request(fixture.hosts[0].callers, "GET", "/look/1").status == 200, "servers to accept requests again")
 
 
+def deadline_beyond_all_time_is_that_of_the_route(fixture):
+    for deadline_ms in (2 ** 63 - 1, 2 ** 62, 10 ** 13):
+        response = send_request(fixture.hosts[0].callers, "GET", "/look/1", deadline_ms=deadline_ms)
+        check(response.status == 200, f"status {response.status} with {deadline_ms} ms")
+
+
 def account_above_its_rate_is_refused_on_all_hosts_together(fixture):
     responses = [send_request(fixture.hosts[index % 2].callers, "GET", "/look/1", key="key-s") for index in range(60)]
     served = sum(response.status == 200 for response in responses)
@@ -366,7 +372,7 @@
          broken_responses_are_never_passed_on, repeatable_request_survives_a_failing_server,
          shed_booking_is_reported_as_not_run, surplus_responses_are_discarded, response_without_length_is_complete,
          slow_reader_gets_complete_closing_response, endless_responses_fail_and_memory_stays_bounded,
-         booking_past_its_deadline_fails_and_is_not_repeated, account_above_its_rate_is_refused_on_all_hosts_together,
+         booking_past_its_deadline_fails_and_is_not_repeated, deadline_beyond_all_time_is_that_of_the_route, account_above_its_rate_is_refused_on_all_hosts_together,
          configuration_and_key_changes_reach_all_hosts, withdrawal_of_the_last_account_closes_its_routes,
          host_starts_and_serves_within_the_address_space_of_a_small_host, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
