Callers may take only their share of a host's descriptors

Callers saw: 503 for every request while idle callers held all descriptors of a host, as it could open no connection to a backend server; new callers hung.

Cause: nothing bounded the connections of callers, so that they used up what the host needs for servers, the store, probes and other hosts.

Change: a share of the limit of descriptors is for callers. If none is idle, accepting pauses and the kernel queues callers. Idle connections are kept in the order of their last use, so that no scan is needed.

Evidence: descriptors_test requests_among_idle_callers_are_answered, 128 descriptors and 300 idle callers: on the code before TimeoutError('timed out'), no answer in 10 s; passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include <lacewingsail/Http.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingsail::internal {
 
@@ -88,6 +89,7 @@
 void CallerConnection::start()
 {
     m_connections.open.insert(shared_from_this());
+    updateIdleOrder();
     net::co_spawn(
         m_services.context, [self = shared_from_this()]() -> net::awaitable<void> { co_await self->read(); }, [self = shared_from_this()](const std::exception_ptr& failure) {
         if (failure)
@@ -147,8 +149,10 @@
         if (m_closing)
             continue;
         m_receiving = true;
+        updateIdleOrder();
         const bool complete = co_await readRequest();
         m_receiving = false;
+        updateIdleOrder();
         if (!complete && !m_closing)
             break;
     }
@@ -334,6 +338,7 @@
     m_writing = false;
     const bool closesConnection = m_pending.front()->closesConnection;
     m_pending.pop_front();
+    m_used = true;
     if (error) {
         onCallerDisconnected();
         m_socket.close();
@@ -347,6 +352,7 @@
     }
     m_queueSpaceTimer.cancel();
     writeNextResponse();
+    updateIdleOrder();
     unregisterIfDone();
 }
 
@@ -375,6 +381,52 @@
     startTimer(lingerTime);
 }
 
+bool CallerConnection::isLongIdle() const { return m_services.clock.now() - m_idleSince >= firstRequestTime; }
+
+// The descriptor is needed at once, so that nothing is read after the end of the connection. What has arrived is looked at before,
+// as the reader may not have had its turn yet.
+bool CallerConnection::closeAtOnce()
+{
+    leaveIdleOrder();
+    boost::system::error_code error;
+    m_socket.non_blocking(true, error);
+    char byte = 0;
+    m_socket.receive(net::buffer(&byte, 1), net::socket_base::message_peek, error);
+    if (error != net::error::would_block || !isIdle() || m_closing)
+        return false;
+    m_closing = true;
+    m_socket.close(error);
+    m_connections.open.erase(shared_from_this());
+    return true;
+}
+
+void CallerConnection::updateIdleOrder()
+{
+    leaveIdleOrder();
+    if (!isIdle() || m_closing)
+        return;
+    m_idleSince = m_services.clock.now();
+    m_idleOrder = m_used ? &m_connections.used : &m_connections.unused;
+    m_idlePosition = m_idleOrder->insert(m_idleOrder->end(), this);
+}
+
+void CallerConnection::leaveIdleOrder()
+{
+    if (IdleOrder* const order = std::exchange(m_idleOrder, nullptr))
+        order->erase(m_idlePosition);
+}
+
+bool closeLongestIdle(CallerConnections& connections)
+{
+    for (const IdleOrder* const order : { &connections.unused, &connections.used }) {
+        while (!order->empty() && order->front()->isLongIdle()) {
+            if (order->front()->closeAtOnce())
+                return true;
+        }
+    }
+    return false;
+}
+
 void CallerConnection::logUnanswered() const
 {
     long long position = 0;
@@ -395,6 +447,7 @@
     if (!m_readerEnded || !m_pending.empty())
         return;
     m_timer.cancel();
+    leaveIdleOrder();
     m_connections.open.erase(shared_from_this());
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -3,6 +3,7 @@
 #include "RequestState.h"
 
 #include <deque>
+#include <list>
 #include <memory>
 #include <set>
 
@@ -10,12 +11,23 @@
 
 class CallerConnection;
 
+/// \brief Connections in the order in which they became idle.
+using IdleOrder = std::list<CallerConnection*>;
+
 /// \brief All open connections of callers, and the planned stop if one has begun.
 struct CallerConnections {
     std::set<std::shared_ptr<CallerConnection>> open;
+    /// Idle connections that have not carried a request yet.
+    IdleOrder unused;
+    /// Idle connections that have carried requests.
+    IdleOrder used;
     std::optional<PlannedStop> plannedStop;
 };
 
+/// \brief Closes the connection that has been idle the longest, preferably one that has not carried a request.
+/// \returns false if none has been idle for long enough that no request is to be expected on it.
+bool closeLongestIdle(CallerConnections&);
+
 /// \brief One connection of a caller. Pipelined requests are served concurrently; responses are sent in request order.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
@@ -30,6 +42,13 @@
     /// \brief Closes the connection if it is idle and was not opened a moment ago.
     void closeIfIdle();
 
+    /// \returns whether the connection has been idle for so long that no request is to be expected in this moment.
+    bool isLongIdle() const;
+
+    /// \brief Closes an idle connection at once unless a request has arrived meanwhile, and takes it from the idle ones.
+    /// \returns whether it was closed.
+    bool closeAtOnce();
+
     /// \brief Ends all requests that are unfinished, so that the responses behind them are sent too.
     void endRequests();
 
@@ -58,6 +77,8 @@
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
     void unregisterIfDone();
+    void updateIdleOrder();
+    void leaveIdleOrder();
     void startTimer(Duration);
     CallerLimits limits() const;
     Duration idleTimeout() const;
@@ -71,6 +92,12 @@
     net::steady_timer m_queueSpaceTimer;
     beast::flat_buffer m_buffer;
     std::deque<PendingRequestPtr> m_pending;
+    /// The list that the connection is in while it is idle, and its place there.
+    IdleOrder* m_idleOrder = nullptr;
+    IdleOrder::iterator m_idlePosition;
+    MonotonicTime m_idleSince {};
+    /// Whether it has carried a request.
+    bool m_used = false;
     bool m_receiving = false;
     bool m_writing = false;
     /// The caller waits to be told that it may send the body of its request.
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -6,8 +6,10 @@
 
 #include <lacewingsail/Observe.h>
 
+#include <cerrno>
 #include <cmath>
 #include <csignal>
+#include <sys/resource.h>
 #include <unistd.h>
 #include <utility>
 
@@ -20,6 +22,10 @@
     constexpr std::uint64_t maxProbeBodyBytes = 64 * 1024;
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    // The usual limit of a process.
+    constexpr std::size_t assumedDescriptorLimit = 1024;
+    // Between two lines on one lasting shortage.
+    constexpr std::chrono::seconds shortageLogInterval { 5 };
     constexpr std::chrono::milliseconds drainCheckInterval { 100 };
     // By then two exchanges with the seeds have taken place, if any of them is alive.
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
@@ -32,6 +38,23 @@
     // 86 writes a second.
     constexpr std::chrono::milliseconds registrationSpread { 5000 };
 
+    /// \returns how many descriptors the process may have open.
+    std::size_t descriptorLimit()
+    {
+        rlimit limit {};
+        if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+            return limit.rlim_cur;
+        log(Event("descriptor-limit-unknown").with("reason", std::error_code(errno, std::generic_category()).message()));
+        return assumedDescriptorLimit;
+    }
+
+    /// \brief Connections of callers that were closed, and pauses in accepting, since this was last logged.
+    struct CallerLimitLog {
+        MonotonicTime nextAt {};
+        long long closed = 0;
+        long long pauses = 0;
+    };
+
 } // namespace internal
 
 struct GatewayHost::Implementation {
@@ -64,6 +87,8 @@
     internal::MessageBuffers requestBuffers { internal::MessageBuffers::maxRequestBytes };
     internal::MessageBuffers responseBuffers { internal::MessageBuffers::maxResponseBytes };
     internal::CallerConnections connections;
+    const DescriptorBudget descriptors = makeDescriptorBudget(internal::descriptorLimit());
+    internal::CallerLimitLog callerLimitLog;
     internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
@@ -81,6 +106,8 @@
 
     std::error_code listen();
     net::awaitable<void> accept();
+    net::awaitable<void> makeRoomForCallers();
+    void logCallerLimit();
     void stateChanged();
     void followStore();
     void runExchange();
@@ -154,9 +181,37 @@
             continue;
         }
         std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
+        co_await makeRoomForCallers();
     }
 }
 
+// While no connection is idle, further callers wait in the queue of the kernel.
+net::awaitable<void> GatewayHost::Implementation::makeRoomForCallers()
+{
+    while (connections.open.size() > descriptors.callerConnections && acceptor.is_open()) {
+        const bool closed = internal::closeLongestIdle(connections);
+        ++(closed ? callerLimitLog.closed : callerLimitLog.pauses);
+        logCallerLimit();
+        if (closed) {
+            metrics.counter("caller_connections_closed_total", "reason", "limit").fetch_add(1, std::memory_order_relaxed);
+            continue;
+        }
+        net::steady_timer pause(loop.context(), internal::acceptRetryDelay);
+        co_await pause.async_wait(net::use_awaitable);
+    }
+}
+
+void GatewayHost::Implementation::logCallerLimit()
+{
+    const MonotonicTime now = clock.now();
+    if (now < callerLimitLog.nextAt)
+        return;
+    Event event("caller-connections-limited");
+    event.with("connections", static_cast<long long>(connections.open.size())).with("limit", static_cast<long long>(descriptors.callerConnections));
+    log(event.with("closed", callerLimitLog.closed).with("pauses", callerLimitLog.pauses));
+    callerLimitLog = { now + internal::shortageLogInterval, 0, 0 };
+}
+
 // Closing a listening socket resets the connections that wait in its queue.
 void GatewayHost::Implementation::stopAccepting()
 {
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -16,6 +16,7 @@
 #include "src/Policy/ConfigurationEdits.h"
 #include "src/Policy/ConfigurationFold.h"
 #include "src/Policy/CoordinatedPlacement.h"
+#include "src/Policy/DescriptorBudget.h"
 #include "src/Policy/Ejection.h"
 #include "src/Policy/Evidence.h"
 #include "src/Policy/ExchangeSchedule.h"
--- a/scripts/fleet/processes.py
+++ b/scripts/fleet/processes.py
@@ -88,14 +88,18 @@
 
 
 class Process:
-    """One process with its log file. `address_space` limits it in bytes."""
+    """One process with its log file. `address_space` limits it in bytes, `descriptors` its open files."""
+
+    def __init__(self, name, command, log_directory, address_space=resource.RLIM_INFINITY, descriptors=None):
+        def limit():
+            resource.setrlimit(resource.RLIMIT_AS, (address_space, address_space))
+            if descriptors:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
-    def __init__(self, name, command, log_directory, address_space=resource.RLIM_INFINITY):
         self.name = name
         self.log_path = os.path.join(log_directory, f"{name}.log")
         with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-                                          preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_AS, (address_space, address_space)))
+            self.child = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, preexec_fn=limit)
 
     def alive(self):
         return self.child.poll() is None
--- /dev/null
+++ b/tests/descriptors_test.py
@@ -0,0 +1,82 @@
+#!/usr/bin/env python3
+"""Gateway hosts whose file descriptors run short."""
+
+import contextlib
+import os
+import socket
+import sys
+import time
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from fleet.gateway_fixture import ACCOUNTS, BUILD, ROUTES, Caller, check, run_cases, send_request
+from fleet.platform_standins import Gateway, host_and_port
+from fleet.processes import wait_until
+
+DESCRIPTORS = 128
+IDLE_CALLERS = 300
+KEPT_INTERVAL_S = 0.2
+# The host gives idle callers some time for their first request before it closes their connections.
+NEW_CALLER_S = 8
+
+
+@contextlib.contextmanager
+def running_host(fixture, name, descriptors=DESCRIPTORS):
+    host = Gateway(name, "a", fixture.store, fixture.directory, BUILD, descriptors=descriptors)
+    try:
+        host.await_ready()
+        yield host
+    finally:
+        if host.process.alive():
+            host.process.kill()
+
+
+def open_descriptors(host):
+    return len(os.listdir(f"/proc/{host.process.child.pid}/fd"))
+
+
+def lines_of(host, event):
+    return [line for line in host.log_lines() if f"event={event} " in line]
+
+
+def connect_idly(host, count):
+    return [socket.create_connection(host_and_port(host.callers), timeout=10) for _ in range(count)]
+
+
+def requests_among_idle_callers_are_answered(fixture):
+    with running_host(fixture, "crowded") as host, Caller(host.callers) as kept:
+        statuses = []
+
+        def request_on_kept_connection():
+            kept.send("POST", "/book/1", body=b"clock")
+            response = kept.receive()
+            statuses.append(response and response.status)
+
+        request_on_kept_connection()
+        idle = connect_idly(host, IDLE_CALLERS)
+        try:
+            while len(statuses) < 10:
+                time.sleep(KEPT_INTERVAL_S)
+                request_on_kept_connection()
+            check(set(statuses) == {200}, f"on the connection from before: {statuses}")
+            started = time.monotonic()
+            response = send_request(host.callers, "POST", "/book/1", body=b"clock", deadline_ms=NEW_CALLER_S * 1000)
+            took = time.monotonic() - started
+            check(response.status == 200 and took < NEW_CALLER_S, f"on a new connection: {response.status} after {took:.1f} s")
+            check(host.ready(), "not ready")
+            check(open_descriptors(host) < DESCRIPTORS, f"{open_descriptors(host)} descriptors")
+            check(not lines_of(host, "accept-failed"), "no descriptor left for a caller")
+            check(1 <= len(lines_of(host, "caller-connections-limited")) <= 3, "lines on the limit")
+        finally:
+            for each in idle:
+                each.close()
+        # The host still follows the store.
+        fixture.publish(ROUTES + [("/late/", "idempotent", "desk", 3, 3, False)], ACCOUNTS)
+        wait_until(lambda: send_request(host.callers, "GET", "/late/1").status == 200, "the new route")
+
+
+CASES = [requests_among_idle_callers_are_answered]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
