Failures to accept callers are logged a bounded number of times

Operators saw: a line `accept-failed` each 20 ms while a host lacked descriptors, which uses up the budget of the log. An exception would have ended the loop that accepts callers without a word.

Change: at most one line in 5 s, with the number of failures since the last. The loop catches exceptions, logs them the same way and goes on.

No test throws an exception there.

--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -55,6 +55,12 @@
         long long pauses = 0;
     };
 
+    /// \brief Connections that could not be accepted since this was last logged.
+    struct AcceptFailureLog {
+        MonotonicTime nextAt {};
+        long long failures = 0;
+    };
+
 } // namespace internal
 
 struct GatewayHost::Implementation {
@@ -89,6 +95,7 @@
     internal::CallerConnections connections;
     const DescriptorBudget descriptors = makeDescriptorBudget(internal::descriptorLimit());
     internal::CallerLimitLog callerLimitLog;
+    internal::AcceptFailureLog acceptFailureLog;
     internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
@@ -108,6 +115,7 @@
     net::awaitable<void> accept();
     net::awaitable<void> makeRoomForCallers();
     void logCallerLimit();
+    void logAcceptFailure(const std::string& reason);
     void stateChanged();
     void followStore();
     void runExchange();
@@ -169,22 +177,41 @@
 
 net::awaitable<void> GatewayHost::Implementation::accept()
 {
+    std::string failure;
     while (acceptor.is_open()) {
-        boost::system::error_code error;
-        auto socket = co_await acceptor.async_accept(net::redirect_error(net::use_awaitable, error));
-        if (error == net::error::operation_aborted)
-            co_return;
-        if (error) {
-            log(Event("accept-failed").with("reason", error.message()));
-            net::steady_timer pause(loop.context(), internal::acceptRetryDelay);
-            co_await pause.async_wait(net::use_awaitable);
-            continue;
+        // An exception must not end the loop, as the host would then take no callers until its restart.
+        try {
+            if (!failure.empty()) {
+                logAcceptFailure(std::exchange(failure, {}));
+                net::steady_timer pause(loop.context(), internal::acceptRetryDelay);
+                co_await pause.async_wait(net::use_awaitable);
+            }
+            boost::system::error_code error;
+            auto socket = co_await acceptor.async_accept(net::redirect_error(net::use_awaitable, error));
+            if (error == net::error::operation_aborted)
+                co_return;
+            if (error) {
+                failure = error.message();
+                continue;
+            }
+            std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
+            co_await makeRoomForCallers();
+        } catch (const std::exception& exception) {
+            failure = exception.what();
         }
-        std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
-        co_await makeRoomForCallers();
     }
 }
 
+void GatewayHost::Implementation::logAcceptFailure(const std::string& reason)
+{
+    ++acceptFailureLog.failures;
+    const MonotonicTime now = clock.now();
+    if (now < acceptFailureLog.nextAt)
+        return;
+    log(Event("accept-failed").with("reason", reason).with("failures", acceptFailureLog.failures));
+    acceptFailureLog = { now + internal::shortageLogInterval, 0 };
+}
+
 // While no connection is idle, further callers wait in the queue of the kernel.
 net::awaitable<void> GatewayHost::Implementation::makeRoomForCallers()
 {
@@ -224,7 +251,7 @@
             std::make_shared<internal::CallerConnection>(services, connections, std::move(socket))->start();
     }
     if (error != net::error::would_block)
-        log(Event("accept-failed").with("reason", error.message()));
+        logAcceptFailure(error.message());
     acceptor.close(error);
 }
 
--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -3,6 +3,7 @@
 
 import contextlib
 import os
+import resource
 import socket
 import sys
 import time
@@ -17,6 +18,7 @@
 DESCRIPTORS = 128
 IDLE_CALLERS = 300
 KEPT_INTERVAL_S = 0.2
+SHORTAGE_S = 1.0
 # The host gives idle callers some time for their first request before it closes their connections.
 NEW_CALLER_S = 8
 
@@ -76,7 +78,26 @@
         wait_until(lambda: send_request(host.callers, "GET", "/late/1").status == 200, "the new route")
 
 
-CASES = [requests_among_idle_callers_are_answered]
+def host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on(fixture):
+    with running_host(fixture, "refusing", descriptors=512) as host:
+        pid = host.process.child.pid
+        hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+        try:
+            with Caller(host.callers) as caller:
+                caller.send("POST", "/book/1", body=b"clock", deadline_ms=5000)
+                time.sleep(SHORTAGE_S)
+                resource.prlimit(pid, resource.RLIMIT_NOFILE, (512, hard))
+                response = caller.receive()
+            check(response and response.status == 200, f"status {response and response.status}")
+        finally:
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, (512, hard))
+        wait_until(lambda: lines_of(host, "accept-failed"), "the event")
+        check(len(lines_of(host, "accept-failed")) == 1, f"{len(lines_of(host, 'accept-failed'))} lines")
+
+
+CASES = [requests_among_idle_callers_are_answered,
+         host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
