A host's lack of descriptors does not count against servers

Callers saw: 503 for some time after a shortage of descriptors had ended.

Cause: a connection that failed as the host had no descriptor or memory for it was recorded as a failure to reach the server: the host avoided the server with back-off, tried the next one with the same result, and told the coordinators.

Change: such a failure ends the attempt with a status of its own, says nothing about the server and ends the tries, since no other server can be reached either. The caller gets 503 with Retry-After, as nothing was sent.

Evidence: descriptors_test connection_that_fails_for_lack_of_descriptors_is_not_ held_against_the_server: on the code before 'with descriptors again: 503', passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -92,9 +92,21 @@
         std::shared_ptr<State> m_state;
     };
 
+    /// \brief A new connection, or null and whether this host lacks the means for one.
+    struct ConnectResult {
+        BackendConnectionPtr connection;
+        bool hostExhausted = false;
+    };
+
+    bool isHostExhausted(const boost::system::error_code& error)
+    {
+        namespace errc = boost::system::errc;
+        return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system || error == errc::no_buffer_space || error == errc::not_enough_memory;
+    }
+
     bool isRepeatable(const RequestState& request) { return request.route->repeatable; }
 
-    net::awaitable<BackendConnectionPtr> connect(RequestServices& services, RequestState& request, BackendState& server, MonotonicTime deadline)
+    net::awaitable<ConnectResult> connect(RequestServices& services, RequestState& request, BackendState& server, MonotonicTime deadline)
     {
         auto connection = std::make_shared<BackendConnection>(services.context);
         connection->stream.expires_after(std::min<Duration>(deadline - services.clock.now(), connectTimeout));
@@ -108,12 +120,12 @@
             co_await connection->stream.async_connect(net::ip::tcp::endpoint(address, server.registration.endpoint.port), net::redirect_error(net::use_awaitable, error));
         if (error) {
             log(Event("connect-failed").with("request", request.id).with("server", server.registration.id).with("address", text(server.registration.endpoint)).with("reason", error.message()));
-            co_return nullptr;
+            co_return ConnectResult { nullptr, isHostExhausted(error) };
         }
         auto& socket = connection->stream.socket();
         socket.set_option(net::ip::tcp::no_delay(true), error);
         setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
-        co_return connection;
+        co_return ConnectResult { std::move(connection), false };
     }
 
     RequestMessage messageFor(const RequestServices& services, const RequestState& request, const BackendState& server)
@@ -376,11 +388,18 @@
     const InFlightGuard inFlight(server);
     const Duration maxIdleTime = isRepeatable(*request) ? Duration(maxIdleRepeatable) : Duration(maxIdleUnrepeatable);
     BackendConnectionPtr connection = takeIdleConnection(*server, services.clock.now(), maxIdleTime, request->id);
-    if (!connection)
-        connection = co_await connect(services, *request, *server, deadline);
+    bool hostExhausted = false;
+    if (!connection) {
+        ConnectResult result = co_await connect(services, *request, *server, deadline);
+        connection = std::move(result.connection);
+        hostExhausted = result.hostExhausted;
+    }
     if (!connection) {
         AttemptReport report;
-        if (!request->cancelled) {
+        if (hostExhausted) {
+            report.status = AttemptStatus::HostExhausted;
+            report.code = ResultCode::Overloaded;
+        } else if (!request->cancelled) {
             recordConnectFailure(*server, services.clock.now());
             report.outcome.status = PlacementStatus::Unreachable;
         }
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.h
@@ -11,6 +11,8 @@
     /// Nothing was sent: no connection could be opened, or meanwhile the server stopped accepting requests or the
     /// request was cancelled.
     NotSent,
+    /// Nothing was sent: this host lacks the means for a connection. Says nothing about the server.
+    HostExhausted,
     /// The server stated that it did not run the request.
     NotRun,
     /// The request was sent, but no complete and valid response was received, so the server may have run it.
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -400,11 +400,17 @@
                 services.placement.reportOutcome(*choice.reservation, report.outcome);
             lastCode = report.code;
             const bool final = isFinal(*request, report);
+            const bool exhausted = report.status == AttemptStatus::HostExhausted;
             // Any valid response is preferred to none; otherwise the first attempt that may have run is kept.
             if (report.status == AttemptStatus::Answered || (report.status == AttemptStatus::Unknown && !best))
                 best = std::move(report);
             if (final)
                 break;
+            // No other server can be reached either.
+            if (exhausted) {
+                logNotRepeated(*request, "host-exhausted");
+                break;
+            }
             if (!replacement->server && !mayRetry(services, *request)) {
                 logNotRepeated(*request, "attempts-or-time-used");
                 break;
--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -78,6 +78,24 @@
         wait_until(lambda: send_request(host.callers, "GET", "/late/1").status == 200, "the new route")
 
 
+def connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server(fixture):
+    with running_host(fixture, "short", descriptors=512) as host, Caller(host.callers) as caller:
+        pid = host.process.child.pid
+        hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
+        wait_until(lambda: open_descriptors(host) > 8, "connections")
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
+        try:
+            for _ in range(5):
+                caller.send("POST", "/book/1", body=b"clock", deadline_ms=400)
+                response = caller.receive()
+                check(response and response.status == 503 and "Retry-After" in response.headers, f"without descriptors: {response and response.status}")
+        finally:
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, (512, hard))
+        caller.send("POST", "/book/1", body=b"clock")
+        response = caller.receive()
+        check(response and response.status == 200, f"with descriptors again: {response and response.status}")
+
+
 def host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on(fixture):
     with running_host(fixture, "refusing", descriptors=512) as host:
         pid = host.process.child.pid
@@ -97,7 +115,8 @@
 
 
 CASES = [requests_among_idle_callers_are_answered,
-         host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on]
+         host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on,
+         connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
