Connections to backend servers keep within their share of descriptors

Callers saw: pipelined requests to servers that do not answer took all descriptors of a host (40 callers, 16 requests each, limit 128), with the effect of idle callers.

Cause: only the idle connections to one server were bounded, not those to all servers nor those in use.

Change: all connections to backend servers together have a share of the descriptors. At the limit the one that has been idle the longest is closed for a new one; if none is idle, the request gets 503 with Retry-After, as nothing was sent.

Evidence: descriptors_test pipelined_requests_leave_descriptors_to_the_host: on the code before, also with the limit for callers alone, '128 descriptors'; passes after.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -108,7 +108,11 @@
 
     net::awaitable<ConnectResult> connect(RequestServices& services, RequestState& request, BackendState& server, MonotonicTime deadline)
     {
-        auto connection = std::make_shared<BackendConnection>(services.context);
+        auto connection = services.backends.makeConnection(services.context);
+        if (!connection) {
+            log(Event("connect-failed").with("request", request.id).with("server", server.registration.id).with("address", text(server.registration.endpoint)).with("reason", "connection-limit"));
+            co_return ConnectResult { nullptr, true };
+        }
         connection->stream.expires_after(std::min<Duration>(deadline - services.clock.now(), connectTimeout));
         request.cancelAttempt = [weak = std::weak_ptr(connection)] {
             if (const auto locked = weak.lock())
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -42,6 +42,45 @@
 
 } // namespace
 
+BackendConnection::BackendConnection(net::io_context& context, std::shared_ptr<BackendConnections> allConnections)
+    : connections(std::move(allConnections))
+    , stream(context)
+{
+    ++connections->count;
+}
+
+BackendConnection::~BackendConnection() { close(); }
+
+void BackendConnection::enterIdleOrder()
+{
+    leaveIdleOrder();
+    idlePosition = connections->idle.insert(connections->idle.end(), this);
+}
+
+void BackendConnection::leaveIdleOrder()
+{
+    if (const auto position = std::exchange(idlePosition, std::nullopt))
+        connections->idle.erase(*position);
+}
+
+void BackendConnection::close()
+{
+    leaveIdleOrder();
+    stream.close();
+    if (std::exchange(counted, false))
+        --connections->count;
+}
+
+// A connection that is closed here stays with its server, where it is found not to be reusable.
+BackendConnectionPtr BackendTable::makeConnection(net::io_context& context)
+{
+    if (m_connections->count >= m_connections->maxCount && !m_connections->idle.empty())
+        m_connections->idle.front()->close();
+    if (m_connections->count >= m_connections->maxCount)
+        return nullptr;
+    return std::make_shared<BackendConnection>(context, m_connections);
+}
+
 void BackendTable::update(const ServerRegistry& registry)
 {
     std::map<BackendServerId, BackendStatePtr> servers;
@@ -187,6 +226,7 @@
         if (!recent && now < connection->openUntil)
             return nullptr;
         state.idleConnections.pop_back();
+        connection->leaveIdleOrder();
         const bool refused = std::ranges::find(connection->refusedIds, hash) != connection->refusedIds.end();
         if (recent && now < connection->openUntil && !refused && isReusable(*connection))
             return connection;
@@ -207,6 +247,7 @@
     connection->openUntil = now + keepAlive - keepAliveMargin;
     connection->reused = true;
     connection->stream.expires_never();
+    connection->enterIdleOrder();
     state.idleConnections.push_back(std::move(connection));
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -6,19 +6,42 @@
 #include <lacewingsail/Http.h>
 
 #include <deque>
+#include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
 namespace lacewingsail::internal {
 
+struct BackendConnection;
+
+/// \brief The connections of this host to all backend servers.
+struct BackendConnections {
+    /// Those that exist, apart from idle ones that were closed to make room.
+    std::size_t count = 0;
+    std::size_t maxCount = 0;
+    /// In the order in which they became idle.
+    std::list<BackendConnection*> idle;
+};
+
 /// \brief An open connection to a backend server.
 struct BackendConnection {
-    explicit BackendConnection(net::io_context& context)
-        : stream(context)
-    {
-    }
+    BackendConnection(net::io_context&, std::shared_ptr<BackendConnections>);
+    ~BackendConnection();
+    BackendConnection(const BackendConnection&) = delete;
+    BackendConnection& operator=(const BackendConnection&) = delete;
+
+    /// \brief Enters the connection as the last of the idle ones.
+    void enterIdleOrder();
+    void leaveIdleOrder();
+    /// \brief Closes the connection, which no longer counts.
+    void close();
+
+    std::shared_ptr<BackendConnections> connections;
+    std::optional<std::list<BackendConnection*>::iterator> idlePosition;
+    bool counted = true;
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer { maxUnparsedBytes };
@@ -66,11 +89,18 @@
 /// \brief The backend servers of all services.
 class BackendTable {
 public:
-    explicit BackendTable(const Clock& clock)
+    /// \param maxConnections most connections to all servers together.
+    BackendTable(const Clock& clock, std::size_t maxConnections)
         : m_clock(clock)
+        , m_connections(std::make_shared<BackendConnections>())
     {
+        m_connections->maxCount = maxConnections;
     }
 
+    /// \returns a connection that is not open yet, for which the one that has been idle the longest is closed if need be; null if
+    /// there is no room for it.
+    BackendConnectionPtr makeConnection(net::io_context&);
+
     /// \brief Updates the table from the registry. A server keeps its state for as long as its incarnation is the same.
     void update(const ServerRegistry&);
 
@@ -110,6 +140,7 @@
 
 private:
     const Clock& m_clock;
+    std::shared_ptr<BackendConnections> m_connections;
     std::map<BackendServerId, BackendStatePtr> m_servers;
     std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
     std::map<ServiceId, std::vector<BackendServerId>> m_leaving;
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -80,7 +80,8 @@
     std::mt19937_64 random { std::random_device {}() };
     ActiveConfiguration active { parts.decodeConfiguration, clock };
     ServerRegistry registry;
-    internal::BackendTable backends { clock };
+    const DescriptorBudget descriptors = makeDescriptorBudget(internal::descriptorLimit());
+    internal::BackendTable backends { clock, descriptors.backendConnections };
     internal::AsioHttpCalls storeCalls { loop.context(), settings.store };
     std::unique_ptr<RecordStore> store = parts.makeStore(storeCalls);
     StoreFollower follower { *store, active, registry, parts.decodeServer, clock, [this] { stateChanged(); } };
@@ -93,7 +94,6 @@
     internal::MessageBuffers requestBuffers { internal::MessageBuffers::maxRequestBytes };
     internal::MessageBuffers responseBuffers { internal::MessageBuffers::maxResponseBytes };
     internal::CallerConnections connections;
-    const DescriptorBudget descriptors = makeDescriptorBudget(internal::descriptorLimit());
     internal::CallerLimitLog callerLimitLog;
     internal::AcceptFailureLog acceptFailureLog;
     internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -251,8 +251,8 @@
     request that it ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver
     ended."""
 
-    def __init__(self, store, name, service, zone):
-        self.store, self.name, self.service, self.zone = store, name, service, zone
+    def __init__(self, store, name, service, zone, slots=6):
+        self.store, self.name, self.service, self.zone, self.slots = store, name, service, zone, slots
         self.behaviour = "good"
         self.state = "ready"
         self.born = 1700000000000
@@ -270,7 +270,7 @@
 
     def register(self):
         self.heartbeats += 1
-        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
                  "state": self.state, "warmupLeftS": 0, "sequence": self.heartbeats, "born": self.born}
         self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
 
--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -12,11 +12,12 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
 from fleet.gateway_fixture import ACCOUNTS, BUILD, ROUTES, Caller, check, run_cases, send_request
-from fleet.platform_standins import Gateway, host_and_port
+from fleet.platform_standins import Backend, Gateway, host_and_port
 from fleet.processes import wait_until
 
 DESCRIPTORS = 128
 IDLE_CALLERS = 300
+PIPELINED = 16
 KEPT_INTERVAL_S = 0.2
 SHORTAGE_S = 1.0
 # The host gives idle callers some time for their first request before it closes their connections.
@@ -78,6 +79,31 @@
         wait_until(lambda: send_request(host.callers, "GET", "/late/1").status == 200, "the new route")
 
 
+def pipelined_requests_leave_descriptors_to_the_host(fixture):
+    """Every caller that may connect has as many requests under way as it may pipeline; the servers do not answer."""
+    wide = Backend(fixture.store, "i-wide", "archive", "a", slots=600)
+    wide.hanging_paths = {"/shelf/hang"}
+    fixture.publish(ROUTES + [("/shelf/", "idempotent", "archive", 3, 1, False)], ACCOUNTS)
+    with running_host(fixture, "pipelined") as host:
+        callers = []
+        try:
+            for _ in range(40):
+                callers.append(Caller(host.callers))
+                for _ in range(PIPELINED):
+                    callers[-1].send("GET", "/shelf/hang", deadline_ms=2500)
+            highest = 0
+            ends_at = time.monotonic() + SHORTAGE_S
+            while time.monotonic() < ends_at:
+                highest = max(highest, open_descriptors(host))
+                time.sleep(0.02)
+            check(highest < DESCRIPTORS - 10, f"{highest} descriptors")
+            check(host.ready(), "not ready")
+        finally:
+            for caller in callers:
+                caller.socket.close()
+            wide.leave()
+
+
 def connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server(fixture):
     with running_host(fixture, "short", descriptors=512) as host, Caller(host.callers) as caller:
         pid = host.process.child.pid
@@ -114,9 +140,9 @@
         check(len(lines_of(host, "accept-failed")) == 1, f"{len(lines_of(host, 'accept-failed'))} lines")
 
 
-CASES = [requests_among_idle_callers_are_answered,
-         host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on,
-         connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server]
+CASES = [requests_among_idle_callers_are_answered, pipelined_requests_leave_descriptors_to_the_host,
+         connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server,
+         host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
