Test: idle connections to servers make room for new ones

Nearly as many idle connections to eight servers as a host with 128 descriptors may have to all, then 13 requests at once to other servers: all get 200.

--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -104,6 +104,29 @@
             wide.leave()
 
 
+def idle_connections_to_servers_make_room_for_new_ones(fixture):
+    servers = [Backend(fixture.store, f"i-shelf-{index}", "archive", "a", slots=50) for index in range(8)]
+    for server in servers:
+        server.slow_paths = {"/shelf/slow": 0.5}
+    for backend in fixture.backends:
+        backend.slow_paths = {"/look/slow": 0.5}
+    fixture.publish(ROUTES + [("/shelf/", "idempotent", "archive", 3, 1, False)], ACCOUNTS)
+    with running_host(fixture, "many-servers") as host, contextlib.ExitStack() as stack:
+        callers = [stack.enter_context(Caller(host.callers)) for _ in range(13)]
+        # Nearly as many as the host may have to all servers, and then some to other servers.
+        for path, count in (("/shelf/slow", 3), ("/look/slow", 1)):
+            for caller in callers:
+                for _ in range(count):
+                    caller.send("GET", path)
+            statuses = [caller.receive().status for caller in callers for _ in range(count)]
+            check(set(statuses) == {200}, f"{path}: {statuses}")
+        check(open_descriptors(host) < DESCRIPTORS - 10, f"{open_descriptors(host)} descriptors")
+    for server in servers:
+        server.leave()
+    for backend in fixture.backends:
+        backend.slow_paths = {}
+
+
 def connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server(fixture):
     with running_host(fixture, "short", descriptors=512) as host, Caller(host.callers) as caller:
         pid = host.process.child.pid
@@ -140,7 +163,7 @@
         check(len(lines_of(host, "accept-failed")) == 1, f"{len(lines_of(host, 'accept-failed'))} lines")
 
 
-CASES = [requests_among_idle_callers_are_answered, pipelined_requests_leave_descriptors_to_the_host,
+CASES = [requests_among_idle_callers_are_answered, pipelined_requests_leave_descriptors_to_the_host, idle_connections_to_servers_make_room_for_new_ones,
          connection_that_fails_for_lack_of_descriptors_is_not_held_against_the_server,
          host_that_could_not_accept_logs_it_a_bounded_number_of_times_and_goes_on]
 
