--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -251,8 +251,8 @@
     request that it ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver
     ended."""
 
-    def __init__(self, store, name, service, zone):
-        self.store, self.name, self.service, self.zone = store, name, service, zone
+    def __init__(self, store, name, service, zone, slots=6):
+        self.store, self.name, self.service, self.zone, self.slots = store, name, service, zone, slots
         self.behaviour = "good"
         self.state = "ready"
         self.born = 1700000000000
@@ -270,7 +270,7 @@
 
     def register(self):
         self.heartbeats += 1
-        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 6,
+        entry = {"service": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": self.slots,
                  "state": self.state, "warmupLeftS": 0, "sequence": self.heartbeats, "born": self.born}
         self.store.put("keyed.servers", self.name, json.dumps(entry).encode())
 
@@ -356,7 +356,7 @@
 class Gateway:
     """One process of a gateway host."""
 
-    def __init__(self, name, zone, store, directory, build, seeds=(), address_space=resource.RLIM_INFINITY):
+    def __init__(self, name, zone, store, directory, build, seeds=(), address_space=resource.RLIM_INFINITY, descriptors=None):
         self.name = name
         self.callers, self.readiness, self.operators, self.peers = (address(port) for port in free_ports(4))
         self.bounds = {"drain": 2, "stop_grace": 6}
@@ -366,7 +366,7 @@
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         os.environ["LACEWINGSAIL_CONFIG"] = self.settings_path
-        self.process = Process(name, [os.path.join(build, "bin", "lacewingd"), "--role", "gateway"], directory, address_space)
+        self.process = Process(name, [os.path.join(build, "bin", "lacewingd"), "--role", "gateway"], directory, address_space, descriptors)
 
     def ready(self):
         with socket.create_connection(host_and_port(self.readiness), timeout=2) as connection:
