A connection that cannot be accepted ends no listener

Callers saw: a host that had run out of descriptors once stayed mute to the other hosts until it was restarted. Connections to its port between hosts hung, each exchange with it failed.

Cause: gRPC closes its listening socket for good when accept4 fails, for example with EMFILE. The ports for probes and operators accepted again without a pause meanwhile, which took a whole core, and logged nothing.

Change: the new package sockets has a Listener, which accepts on a small thread of its own, logs a failure at most once in 5 s and tries again after 100 ms. PeerServer hands accepted connections to the gRPC server, which opens no port; HttpServer uses it as well. Events of these threads reach the log through the event loop, as LineLog is for one thread.

Evidence: ListenersTest.cpp on the code before: "server of calls between hosts, descriptors ran out meanwhile": no bytes in 10 s on the connection of then and on a later one, no event; "server of control traffic": 961 ms of processor time in 1 s, no event. Both pass after.

--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -8,6 +8,8 @@
 
 #include <cmath>
 #include <csignal>
+#include <string>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 
@@ -46,6 +48,8 @@
     SystemClock clock;
     internal::AsioEventLoop loop;
     LineLog lines { STDOUT_FILENO, clock };
+    /// Runs the event loop.
+    const std::thread::id thread = std::this_thread::get_id();
     Metrics metrics { internal::maxMetricSeries };
     std::atomic<bool> ready { false };
     std::mt19937_64 random { std::random_device {}() };
@@ -95,6 +99,7 @@
     void stopAccepting();
     void drain();
     void checkDrained();
+    void writeLog(std::string_view line);
     HttpResponse answerOperator(const HttpRequest&) const;
 };
 
@@ -133,6 +138,15 @@
     return listenError;
 }
 
+// Listeners log on threads of their own.
+void GatewayHost::Implementation::writeLog(std::string_view line)
+{
+    if (std::this_thread::get_id() == thread)
+        lines.write(line);
+    else
+        loop.post([this, copy = std::string(line)] { lines.write(copy); });
+}
+
 HttpResponse GatewayHost::Implementation::answerOperator(const HttpRequest& request) const
 {
     if (pathOf(request.target) == "/metrics")
@@ -355,12 +369,19 @@
 {
 }
 
-GatewayHost::~GatewayHost() = default;
+GatewayHost::~GatewayHost()
+{
+    // Their threads log.
+    m_implementation->calls.reset();
+    m_implementation->readinessServer.reset();
+    m_implementation->operatorServer.reset();
+    redirectLog(nullptr);
+}
 
 std::error_code GatewayHost::run()
 {
     Implementation& host = *m_implementation;
-    redirectLog([&host](std::string_view line) { host.lines.write(line); });
+    redirectLog([&host](std::string_view line) { host.writeLog(line); });
     if (const std::error_code error = host.listen())
         return error;
     log(Event("host-started").with("host", host.settings.id).with("zone", host.settings.zone));
@@ -373,7 +394,6 @@
     host.runHousekeeping();
     host.loop.context().run();
     host.lines.flush();
-    redirectLog(nullptr);
     return {};
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
@@ -27,6 +27,7 @@
 /// \brief One host of the gateway fleet. All requests are served by the thread that calls run().
 class GatewayHost {
 public:
+    /// \brief To be called on the thread that calls run().
     GatewayHost(GatewaySettings, GatewayParts);
     ~GatewayHost();
     GatewayHost(const GatewayHost&) = delete;
--- a/packages/http/lacewingsail/src/Http/HttpServer.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpServer.cpp
@@ -1,10 +1,13 @@
 #include <lacewingsail/Http.h>
 
+#include <lacewingsail/Sockets.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
 #include <cassert>
 #include <thread>
+#include <unistd.h>
 #include <vector>
 
 namespace lacewingsail {
@@ -15,9 +18,13 @@
 
 struct HttpServer::Implementation {
     net::io_context context;
-    net::ip::tcp::acceptor acceptor { context };
+    net::executor_work_guard<net::io_context::executor_type> keepRunning { context.get_executor() };
     Handler handler;
+    std::uint64_t largestBody = 0;
     std::vector<std::thread> threads;
+    std::unique_ptr<Listener> listener;
+
+    void serve(int connection);
 };
 
 namespace internal {
@@ -67,45 +74,38 @@
     // A broken connection ends its own coroutine only.
     void ignoreBrokenConnection(std::exception_ptr) { }
 
-    net::awaitable<void> acceptControl(net::ip::tcp::acceptor& acceptor, const HttpServer::Handler& handler, std::uint64_t largestBody)
-    {
-        for (;;) {
-            boost::system::error_code error;
-            auto socket = co_await acceptor.async_accept(net::make_strand(acceptor.get_executor()), net::redirect_error(net::use_awaitable, error));
-            if (error == net::error::operation_aborted)
-                co_return;
-            if (error)
-                continue;
-            const auto executor = socket.get_executor();
-            net::co_spawn(executor, serveControl(beast::tcp_stream(std::move(socket)), handler, largestBody), ignoreBrokenConnection);
-        }
-    }
-
 } // namespace internal
 
+void HttpServer::Implementation::serve(int connection)
+{
+    net::ip::tcp::socket socket(net::make_strand(context));
+    boost::system::error_code error;
+    socket.assign(net::ip::tcp::v4(), connection, error);
+    if (error) {
+        ::close(connection);
+        throw boost::system::system_error(error);
+    }
+    const auto executor = socket.get_executor();
+    net::co_spawn(executor, internal::serveControl(beast::tcp_stream(std::move(socket)), handler, largestBody), internal::ignoreBrokenConnection);
+}
+
 HttpServer::HttpServer(const Endpoint& endpoint, int threads, Handler handler, std::error_code& error, std::uint64_t largestBody)
     : m_implementation(std::make_unique<Implementation>())
 {
     assert(threads > 0);
-    error.clear();
     m_implementation->handler = std::move(handler);
-    try {
-        const net::ip::tcp::endpoint address(net::ip::make_address(endpoint.address), endpoint.port);
-        m_implementation->acceptor.open(address.protocol());
-        m_implementation->acceptor.set_option(net::socket_base::reuse_address(true));
-        m_implementation->acceptor.bind(address);
-        m_implementation->acceptor.listen();
-    } catch (const boost::system::system_error& problem) {
-        error = problem.code();
+    m_implementation->largestBody = largestBody;
+    const int socket = openListeningSocket(endpoint, error);
+    if (error)
         return;
-    }
-    net::co_spawn(m_implementation->context, internal::acceptControl(m_implementation->acceptor, m_implementation->handler, largestBody), net::detached);
     for (int index = 0; index < threads; ++index)
         m_implementation->threads.emplace_back([this] { m_implementation->context.run(); });
+    m_implementation->listener = std::make_unique<Listener>(socket, endpoint, [this](int connection) { m_implementation->serve(connection); });
 }
 
 HttpServer::~HttpServer()
 {
+    m_implementation->listener.reset();
     m_implementation->context.stop();
     for (std::thread& thread : m_implementation->threads)
         thread.join();
--- /dev/null
+++ b/packages/sockets/lacewingsail/src/Sockets/ForwardDeclarations.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace lacewingsail {
+
+class Listener;
+
+} // namespace lacewingsail
