Signals that come while a gateway host starts are handled

Callers saw: a host that got SIGHUP or SIGTERM just after its start was gone, ended by the signal.

Cause: until the event loop's handlers are installed, these signals end a process.

Change: lacewingd blocks them before its static objects are constructed; the host unblocks them once the handlers are installed. The role entry unblocks them after its options are read, as it has no handler of SIGHUP. The time in which the system loads the program is not covered: no code of ours runs then.

Evidence: tests/listeners_test.py, on the code before: FAILED host_that_is_told_to_reload_while_it_starts_reloads: 'the host ended with -1' FAILED host_that_is_told_to_stop_while_it_starts_stops_as_planned: 'exit code -15' Both pass after.

--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -8,6 +8,7 @@
 
 #include <cmath>
 #include <csignal>
+#include <pthread.h>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -94,6 +95,7 @@
     void registerHost(std::size_t fleetSize);
     void renewRegistration();
     void readHostRecords(bool recordAlive);
+    static void unblockSignals();
     void awaitSignal();
     void reload();
     void stopAccepting();
@@ -364,6 +366,16 @@
     loop.after(internal::drainCheckInterval, [this] { checkDrained(); });
 }
 
+// The handlers have been installed.
+void GatewayHost::Implementation::unblockSignals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&handled, signal);
+    pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
+}
+
 GatewayHost::GatewayHost(GatewaySettings settings, GatewayParts parts)
     : m_implementation(std::make_unique<Implementation>(std::move(settings), std::move(parts)))
 {
@@ -382,6 +394,7 @@
 {
     Implementation& host = *m_implementation;
     redirectLog([&host](std::string_view line) { host.writeLog(line); });
+    Implementation::unblockSignals();
     if (const std::error_code error = host.listen())
         return error;
     log(Event("host-started").with("host", host.settings.id).with("zone", host.settings.zone));
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
@@ -34,7 +34,8 @@
     GatewayHost& operator=(const GatewayHost&) = delete;
 
     /// \brief Serves requests until a planned stop, which SIGTERM or SIGINT starts, is complete. SIGHUP reloads the
-    /// settings.
+    /// settings. Unblocks these signals in the calling thread: the process may block them at its start, so that those that come
+    /// before their handlers are installed are handled too.
     /// \returns an error if the host cannot listen.
     std::error_code run();
 
--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -103,6 +103,21 @@
         return signals;
     }
 
+    sigset_t gatewaySignals()
+    {
+        sigset_t signals = stopSignals();
+        sigaddset(&signals, SIGHUP);
+        return signals;
+    }
+
+    // Before the constructors of static objects, which take milliseconds: a signal that comes before its handler is installed
+    // would end the process.
+    __attribute__((constructor(101))) void blockSignals()
+    {
+        const sigset_t signals = gatewaySignals();
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    }
+
     int serve(HostSettings settings)
     {
         // Blocked before any thread starts, so that sigwait receives them.
@@ -159,6 +174,8 @@
             return exitUsage;
         if (options.gateway)
             return runGateway(options.checkOnly);
+        const sigset_t signals = gatewaySignals();
+        pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
         auto settings = readHostSettings(options.settingsFile);
         if (!settings)
             return exitUsage;
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -354,9 +354,9 @@
 
 
 class Gateway:
-    """One process of a gateway host."""
+    """One process of a gateway host. `before_start` is called with it once its ports are known."""
 
-    def __init__(self, name, zone, store, directory, build, seeds=(), address_space=resource.RLIM_INFINITY):
+    def __init__(self, name, zone, store, directory, build, seeds=(), address_space=resource.RLIM_INFINITY, before_start=lambda host: None):
         self.name = name
         self.callers, self.readiness, self.operators, self.peers = (address(port) for port in free_ports(4))
         self.bounds = {"drain": 2, "stop_grace": 6}
@@ -366,6 +366,7 @@
         with open(self.settings_path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         os.environ["LACEWINGSAIL_CONFIG"] = self.settings_path
+        before_start(self)
         self.process = Process(name, [os.path.join(build, "bin", "lacewingd"), "--role", "gateway"], directory, address_space)
 
     def ready(self):
