A gateway host waits for ports that are taken at its start

Callers saw: a host did not start when one of its four ports was in use for some seconds, for example by a predecessor or by an outgoing connection of another process. It ended with code 1 and a message that named no port.

Change: ports that cannot be listened on are tried again each 100 ms for 30 s, on the event loop, so that signals are handled meanwhile; the host is not ready, and its port for callers is opened last. The event listen-failed names the port, endpoint and reason, host-not-started says that the host has given up.

--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -5,6 +5,7 @@
 #include "CallerConnection.h"
 
 #include <lacewingsail/Observe.h>
+#include <lacewingsail/Sockets.h>
 
 #include <cmath>
 #include <csignal>
@@ -23,6 +24,9 @@
     constexpr std::uint64_t maxProbeBodyBytes = 64 * 1024;
     constexpr std::chrono::milliseconds housekeepingInterval { 500 };
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    // A port may be taken by a predecessor that still drains, or by an outgoing connection of another process.
+    constexpr std::chrono::milliseconds listenRetryDelay { 100 };
+    constexpr std::chrono::seconds listenPatience { 30 };
     constexpr std::chrono::milliseconds drainCheckInterval { 100 };
     // By then two exchanges with the seeds have taken place, if any of them is alive.
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
@@ -35,6 +39,14 @@
     // 86 writes a second.
     constexpr std::chrono::milliseconds registrationSpread { 5000 };
 
+    /// \brief A port that cannot be listened on.
+    struct ListenFailure {
+        /// As in the settings.
+        std::string_view port;
+        Endpoint endpoint;
+        std::error_code error;
+    };
+
 } // namespace internal
 
 struct GatewayHost::Implementation {
@@ -84,7 +96,17 @@
     /// When the record is appended again, as the store came back from a copy that may lack it.
     std::optional<MonotonicTime> registrationRenewalAt;
 
-    std::error_code listen();
+    /// Whether all ports are listened on.
+    bool started = false;
+    /// The port that was logged last as one that cannot be listened on.
+    std::string_view failedPort;
+    std::error_code startError;
+
+    std::optional<internal::ListenFailure> listen();
+    std::error_code listenForHosts();
+    std::error_code listenForCallers();
+    void start(MonotonicTime deadline);
+    void serve();
     net::awaitable<void> accept();
     void stateChanged();
     void followStore();
@@ -99,13 +121,14 @@
     void awaitSignal();
     void reload();
     void stopAccepting();
+    void stopBeforeStart();
     void drain();
     void checkDrained();
     void writeLog(std::string_view line);
     HttpResponse answerOperator(const HttpRequest&) const;
 };
 
-std::error_code GatewayHost::Implementation::listen()
+std::error_code GatewayHost::Implementation::listenForHosts()
 {
     std::error_code error;
     GatewayCalls::Handlers handlers;
@@ -114,30 +137,89 @@
     handlers.place = [this](const PlacementCell& cell, const PlacementDemand& demand) { return placementCoordinator.place(cell, demand); };
     handlers.recordOutcomes = [this](std::span<const PlacementOutcome> outcomes) { placementCoordinator.recordOutcomes(outcomes); };
     calls = std::make_unique<GatewayCalls>(loop, settings.peers, std::move(handlers), error);
-    if (error)
+    if (error) {
+        calls.reset();
         return error;
+    }
     exchange.connect(*calls);
     tokens.connect(*calls);
     tokens.setCoordinatorProbe([this](const LiveHost& coordinator) { exchange.probe(coordinator); });
     placement.connect(*calls);
-    readinessServer = std::make_unique<HttpServer>(
-        settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error, internal::maxProbeBodyBytes);
+    return {};
+}
+
+std::error_code GatewayHost::Implementation::listenForCallers()
+{
+    std::error_code error;
+    const int socket = openListeningSocket(settings.callers, error);
     if (error)
         return error;
-    operatorServer = std::make_unique<HttpServer>(
-        settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error, internal::maxProbeBodyBytes);
+    boost::system::error_code assignError;
+    acceptor.assign(net::ip::make_address(settings.callers.address).is_v6() ? net::ip::tcp::v6() : net::ip::tcp::v4(), socket, assignError);
+    if (assignError)
+        ::close(socket);
+    return assignError;
+}
+
+// Ports that are listened on already are left as they are. That for callers is the last one, so that none waits for an answer
+// while another port is taken.
+std::optional<internal::ListenFailure> GatewayHost::Implementation::listen()
+{
+    if (!calls) {
+        if (const std::error_code error = listenForHosts())
+            return internal::ListenFailure { "peers", settings.peers, error };
+    }
+    std::error_code error;
+    if (!readinessServer) {
+        readinessServer = std::make_unique<HttpServer>(
+            settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error, internal::maxProbeBodyBytes);
+        if (error) {
+            readinessServer.reset();
+            return internal::ListenFailure { "readiness", settings.readiness, error };
+        }
+    }
+    if (!operatorServer) {
+        operatorServer = std::make_unique<HttpServer>(
+            settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error, internal::maxProbeBodyBytes);
+        if (error) {
+            operatorServer.reset();
+            return internal::ListenFailure { "operators", settings.operators, error };
+        }
+    }
+    error = listenForCallers();
     if (error)
-        return error;
-    boost::system::error_code listenError;
-    const net::ip::tcp::endpoint endpoint(net::ip::make_address(settings.callers.address, listenError), settings.callers.port);
-    acceptor.open(endpoint.protocol(), listenError);
-    if (!listenError)
-        acceptor.set_option(net::socket_base::reuse_address(true), listenError);
-    if (!listenError)
-        acceptor.bind(endpoint, listenError);
-    if (!listenError)
-        acceptor.listen(net::socket_base::max_listen_connections, listenError);
-    return listenError;
+        return internal::ListenFailure { "callers", settings.callers, error };
+    return std::nullopt;
+}
+
+void GatewayHost::Implementation::start(MonotonicTime deadline)
+{
+    if (const auto failure = listen()) {
+        const bool last = clock.now() >= deadline;
+        if (last || std::exchange(failedPort, failure->port) != failure->port)
+            log(Event(last ? "host-not-started" : "listen-failed").with("port", failure->port).with("endpoint", text(failure->endpoint)).with("reason", failure->error.message()));
+        if (last) {
+            startError = failure->error;
+            return loop.context().stop();
+        }
+        // What has been logged is to be seen meanwhile.
+        lines.flush();
+        loop.after(internal::listenRetryDelay, [this, deadline] { start(deadline); });
+        return;
+    }
+    started = true;
+    serve();
+}
+
+void GatewayHost::Implementation::serve()
+{
+    log(Event("host-started").with("host", settings.id).with("zone", settings.zone));
+    net::co_spawn(loop.context(), accept(), net::detached);
+    loop.after(internal::discoveryDelay, [this] { discoverHosts(); });
+    loop.after(internal::fleetSizeInterval, [this] { learnFleetSize(); });
+    followStore();
+    runExchange();
+    runHousekeeping();
 }
 
 // Listeners log on threads of their own.
@@ -310,6 +392,8 @@
             return;
         if (signal == SIGHUP)
             reload();
+        else if (!started)
+            stopBeforeStart();
         else if (!connections.plannedStop)
             drain();
         awaitSignal();
@@ -329,6 +413,13 @@
     settings.bounds = reloaded->bounds;
 }
 
+// Nothing has been accepted from callers.
+void GatewayHost::Implementation::stopBeforeStart()
+{
+    log(Event("host-stopped").with("host", settings.id).with("connections", 0LL));
+    loop.context().stop();
+}
+
 void GatewayHost::Implementation::drain()
 {
     log(Event("host-draining").with("host", settings.id).with("connections", static_cast<long long>(connections.open.size())));
@@ -395,19 +486,11 @@
     Implementation& host = *m_implementation;
     redirectLog([&host](std::string_view line) { host.writeLog(line); });
     Implementation::unblockSignals();
-    if (const std::error_code error = host.listen())
-        return error;
-    log(Event("host-started").with("host", host.settings.id).with("zone", host.settings.zone));
     host.awaitSignal();
-    net::co_spawn(host.loop.context(), host.accept(), net::detached);
-    host.loop.after(internal::discoveryDelay, [&host] { host.discoverHosts(); });
-    host.loop.after(internal::fleetSizeInterval, [&host] { host.learnFleetSize(); });
-    host.followStore();
-    host.runExchange();
-    host.runHousekeeping();
+    host.start(host.clock.now() + internal::listenPatience);
     host.loop.context().run();
     host.lines.flush();
-    return {};
+    return host.startError;
 }
 
 } // namespace lacewingsail
