--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
@@ -27,14 +27,17 @@
 /// \brief One host of the gateway fleet. All requests are served by the thread that calls run().
 class GatewayHost {
 public:
+    /// \brief To be called on the thread that calls run().
     GatewayHost(GatewaySettings, GatewayParts);
     ~GatewayHost();
     GatewayHost(const GatewayHost&) = delete;
     GatewayHost& operator=(const GatewayHost&) = delete;
 
     /// \brief Serves requests until a planned stop, which SIGTERM or SIGINT starts, is complete. SIGHUP reloads the
-    /// settings.
-    /// \returns an error if the host cannot listen.
+    /// settings. Unblocks these signals in the calling thread: the process may block them at its start, so that those that come
+    /// before their handlers are installed are handled too.
+    /// A port that is taken is tried again for 30 s; the host is not ready meanwhile.
+    /// \returns an error if the host cannot listen; the event `host-not-started` tells the endpoint.
     std::error_code run();
 
 private:
