--- a/scripts/fleet/site.py
+++ b/scripts/fleet/site.py
@@ -12,11 +12,13 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import tomllib
 
 from fleet.platform_standins import Store
 from fleet.processes import ROOT, FleetError, free_ports
+from fleet.relays import Relays
 
 ROLE = "gateway"
 HOST_NAME = "site.example"
@@ -48,8 +50,8 @@
 class BackendServer:
     """One backend server: `slots` requests at a time, QUEUE more wait, others are refused. Its responses are signed."""
 
-    def __init__(self, store, name, service, zone, slots):
-        self.store, self.name, self.service, self.zone, self.slots = store, name, service, zone, slots
+    def __init__(self, store, name, service, zone, slots, runs):
+        self.store, self.name, self.service, self.zone, self.slots, self.runs = store, name, service, zone, slots, runs
         self.running, self.waiting, self.sequence = 0, collections.deque(), 0
         self.address = None
         self.born = time.time_ns() // 1_000_000
@@ -93,6 +95,7 @@
             self.waiting.append(turn)
             await turn
         self.running += 1
+        self.runs.write(fields["Attempt-Id"] + "\n")
         try:
             work_s, size = path.split("/")[-1].split("-")
             closed = asyncio.ensure_future(reader.read(1))
@@ -110,9 +113,17 @@
         return True
 
 
-def run_platform(site, store_port, ready):
-    """The store and all backend servers, in a process of their own."""
-    store = Store(store_port)
+def run_platform(site, store_port, ready, runs_file, silence):
+    """The store and all backend servers, in a process of their own. The store is silent for the second part of `silence`, in seconds,
+    after each first part."""
+    relays = Relays()
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", store_port))
+    listener.listen(1024)
+    own_port = free_ports(1)[0]
+    store = Store(own_port)
+    relays.add("store", listener, f"127.0.0.1:{own_port}")
     routes = [{"name": each["name"], "kind": {"safe": "idempotent", "unsafe": "non_idempotent"}.get(each["kind"], each["kind"]),
                "targetLatencyS": each["aim_ms"] / 1000, "priority": each["priority"], "public": False, "match": {"pathPrefix": f"/{each['name']}/"},
                "action": {"service": each["service"], "timeoutS": each.get("timeout_ms", each["deadline_ms"]) / 1000, "maxAttempts": 3}}
@@ -124,11 +135,19 @@
         "clusters": [{"name": each["name"], "healthCheck": "/health", "maxConnections": each["conn_cap"], "protocol": "h1", "tls": False}
                      for each in site["services"]]}).encode())
 
+    async def alternate():
+        while silence:
+            await asyncio.sleep(silence[0])
+            relays.cut("store")
+            await asyncio.sleep(silence[1])
+            relays.heal("store")
+
     async def serve():
-        servers = [BackendServer(store, f"i-{each['name']}-{part['zone']}-{index}", each["name"], part["zone"], each["slots"])
+        runs = open(runs_file, "w", encoding="utf-8", buffering=1)
+        servers = [BackendServer(store, f"i-{each['name']}-{part['zone']}-{index}", each["name"], part["zone"], each["slots"], runs)
                    for each in site["services"] for part in each["servers"] for index in range(part["count"])]
         ready.set()
-        await asyncio.gather(*(server.start() for server in servers))
+        await asyncio.gather(alternate(), *(server.start() for server in servers))
 
     asyncio.run(serve())
 
@@ -139,7 +158,7 @@
     def __init__(self, deployment, name, zone, address, limits):
         self.deployment, self.name, self.zone, self.address, self.limits = deployment, name, zone, address, limits
         self.front, self.readiness, self.control = (f"{address}:{port}" for port in deployment.ports[:3])
-        self.process, self.stopping, self.starts = None, False, 0
+        self.process, self.stopping, self.starts, self.ended_at = None, False, 0, None
         self.settings = os.path.join(deployment.directory, f"{name}.settings")
 
     def write_settings(self):
@@ -153,6 +172,8 @@
     def limit_resources(self):
         resource.setrlimit(resource.RLIMIT_NOFILE, (self.limits["maxFds"], self.limits["maxFds"]))
         resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+        if self.deployment.cores:
+            os.sched_setaffinity(0, range(self.deployment.cores))
         if self.deployment.address_space:
             resource.setrlimit(resource.RLIMIT_AS, (self.limits["memoryMb"] << 20,) * 2)
 
@@ -164,11 +185,17 @@
         output = open(os.path.join(self.deployment.directory, f"{self.name}.log"), "ab") if self.deployment.output == "file" else subprocess.PIPE
         self.process = subprocess.Popen(self.deployment.role["run"].split(" "), cwd=ROOT, stdin=subprocess.DEVNULL, stdout=output, stderr=subprocess.STDOUT,
                                         env={**environment, "LACEWINGSAIL_CONFIG": self.settings}, preexec_fn=self.limit_resources)
+        self.ended_at = None
+        threading.Thread(target=self.await_end, args=(self.process,), daemon=True).start()
         if output is not subprocess.PIPE:
             output.close()
         elif self.deployment.output == "closed":
             self.process.stdout.close()
 
+    def await_end(self, process):
+        process.wait()
+        self.ended_at = time.monotonic()
+
     def is_ready(self):
         """Returns whether the readiness address answers 200 within the interval of the balancer."""
         try:
@@ -191,8 +218,8 @@
 class Callers:
     """Callers of all zones, on kept, fresh and pipelined connections. They use a connection until it ends."""
 
-    def __init__(self, site, hosts, seconds, seed):
-        self.site, self.hosts, self.seconds = site, hosts, seconds
+    def __init__(self, site, hosts, seconds, seed, latency):
+        self.site, self.hosts, self.seconds, self.latency = site, hosts, seconds, latency
         self.random = random.Random(seed)
         self.in_rotation = {host["name"]: True for host in hosts}
         self.misses = collections.Counter()
@@ -245,7 +272,7 @@
         """Sends one request, a burst of three on one connection if the kind is pipelined."""
         started = time.monotonic()
         count = 3 if kind["habit"] == "pipeline" else 1
-        host, statuses, closes = None, [], True
+        host, statuses, closes, first = None, [], True, 0
         pool = self.idle[zone] if kind["habit"] != "fresh" else []
         try:
             if pool:
@@ -255,7 +282,10 @@
             if reader.at_eof():
                 host = None
                 host, reader, writer = await self.connect(zone)
+            # What the host closes in this time crosses the request.
+            await asyncio.sleep(self.latency)
             started = time.monotonic()
+            first = self.count + 1
             for _ in range(count):
                 writer.write(self.request(kind))
             for _ in range(count):
@@ -269,8 +299,8 @@
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
             statuses.append(f"{'none' if host else 'no connection'} ({type(error).__name__}, {len(getattr(error, 'partial', b''))} bytes)")
         ended = time.monotonic()
-        for status in statuses:
-            self.results.append((started, ended, host["name"] if host else "", kind["name"], status))
+        for index, status in enumerate(statuses):
+            self.results.append((started, ended, host["name"] if host else "", kind["name"], status, f"{first + index:016x}"))
         if host and (closes or self.random.random() < CLOSE_SHARE or not isinstance(statuses[-1], int)):
             writer.close()
         elif host:
@@ -301,20 +331,21 @@
         return self.results
 
 
-def run_callers(site, hosts, seconds, seed, results):
-    results.put(asyncio.run(Callers(site, hosts, seconds, seed).run()))
+def run_callers(site, hosts, seconds, seed, latency, results):
+    results.put(asyncio.run(Callers(site, hosts, seconds, seed, latency).run()))
 
 
 class Deployment:
     """All processes of a site. A context manager that ends what it started, by id."""
 
-    def __init__(self, site_file, output="file", address_space=False):
+    def __init__(self, site_file, output="file", address_space=False, cores=None, silence=None):
         with open(site_file, "rb") as file:
             self.site = tomllib.load(file)
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.role = tomllib.load(file)["roles"][ROLE]
-        self.output, self.address_space = output, address_space
+        self.output, self.address_space, self.cores = output, address_space, cores
         self.directory = tempfile.mkdtemp(prefix="lacewingsail-site-")
+        self.runs_file = os.path.join(self.directory, "runs")
         self.ports = free_ports(4)
         store_port = free_ports(1)[0]
         self.store_address = f"127.0.0.1:{store_port}"
@@ -326,7 +357,7 @@
                 number = len(self.hosts) + 1
                 self.hosts.append(Host(self, f"edge-{part['zone']}-{index + 1}", part["zone"], f"127.{block}.{number // 200}.{number % 200 + 1}", limits))
         ready = multiprocessing.Event()
-        self.platform = multiprocessing.Process(target=run_platform, args=(self.site, store_port, ready), daemon=True)
+        self.platform = multiprocessing.Process(target=run_platform, args=(self.site, store_port, ready, self.runs_file, silence), daemon=True)
         self.platform.start()
         if not ready.wait(10):
             raise FleetError("the stand-ins did not start")
@@ -334,11 +365,16 @@
     def seeds(self):
         return [self.hosts[index * len(self.hosts) // 3].control for index in range(3)]
 
-    def start_callers(self, seconds, seed):
+    def runs(self):
+        """Returns the ids of the requests that servers have begun to work on."""
+        with open(self.runs_file, encoding="utf-8") as file:
+            return set(file.read().split())
+
+    def start_callers(self, seconds, seed, latency=0.0):
         """Returns the process and the queue that receives its results."""
         hosts = [{"name": host.name, "zone": host.zone, "front": tuple(host.front.split(":")), "readiness": tuple(host.readiness.split(":"))} for host in self.hosts]
         results = multiprocessing.Queue()
-        process = multiprocessing.Process(target=run_callers, args=(self.site, hosts, seconds, seed, results), daemon=True)
+        process = multiprocessing.Process(target=run_callers, args=(self.site, hosts, seconds, seed, latency, results), daemon=True)
         process.start()
         return process, results
 
