A stopping host answers requests that arrived before it closed their connection

Callers on kept connections saw the connection close without an answer, although their request had arrived before. From the balancer's reaction on, each check closed all idle connections in one turn of the event loop and discarded what came later: a request that arrived during that turn, or whose arrival the loop had yet to handle, was dropped.

The reader of a connection now closes it, after a look at whether data has arrived. A request that crosses the close on the way still gets no answer; it is not passed on.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -127,8 +127,15 @@
         co_return true;
     startTimer(m_closing ? Duration(lingerTime) : idleTimeout());
     boost::system::error_code error;
+    m_idleCloseDue = false;
     const std::size_t read = co_await m_socket.async_read_some(m_buffer.prepare(readChunkBytes), net::redirect_error(net::use_awaitable, error));
     m_timer.cancel();
+    if (error == net::error::operation_aborted && m_idleCloseDue && !m_timedOut) {
+        // What has arrived meanwhile is still served.
+        if (m_socket.available(error) == 0)
+            beginClosing();
+        co_return true;
+    }
     if (error) {
         // A timeout while responses are outstanding does not mean that the caller has disconnected.
         if (!m_timedOut || m_pending.empty())
@@ -365,14 +372,21 @@
     }
 }
 
+// The reader closes the connection, as a request may have arrived that it has not been told of yet.
 void CallerConnection::closeIfIdle()
 {
     if (!isIdle() || m_closing || m_services.clock.now() - m_acceptedAt < firstRequestTime)
         return;
+    m_idleCloseDue = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
+void CallerConnection::beginClosing()
+{
     m_closing = true;
     boost::system::error_code ignored;
     m_socket.shutdown(net::socket_base::shutdown_send, ignored);
-    startTimer(lingerTime);
 }
 
 void CallerConnection::logUnanswered() const
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -27,7 +27,7 @@
     /// \returns whether no request is being received or served and no response is being sent.
     bool isIdle() const { return m_pending.empty() && !m_receiving; }
 
-    /// \brief Closes the connection if it is idle and was not opened a moment ago.
+    /// \brief Closes the connection if it is idle, no request has arrived and it was not opened a moment ago.
     void closeIfIdle();
 
     /// \brief Ends all requests that are unfinished, so that the responses behind them are sent too.
@@ -57,6 +57,7 @@
     void writeNextResponse();
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
+    void beginClosing();
     void unregisterIfDone();
     void startTimer(Duration);
     CallerLimits limits() const;
@@ -78,6 +79,8 @@
     /// No further requests are accepted.
     bool m_closing = false;
     bool m_timedOut = false;
+    /// The connection is to be closed unless a request has arrived.
+    bool m_idleCloseDue = false;
     bool m_readerEnded = false;
 };
 
--- a/scripts/fleet/gateway_fixture.py
+++ b/scripts/fleet/gateway_fixture.py
@@ -52,6 +52,13 @@
         self.socket.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         return request_id
 
+    def first_byte(self):
+        """Returns whether a response begins, as far as is known when the connection has something to read."""
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except ConnectionResetError:
+            return False
+
     def receive(self):
         status_line = self.file.readline()
         if not status_line:
