The idle time of a caller's connection begins with its last response

A connection was closed while its caller might still reuse it: the timer ran from the time at which the last request had been read, so that the time of the response counted as idle.

Evidence: tests/gateway_test.py, connection_is_kept_for_the_idle_timeout_after_a_slow_response: with an idle timeout of 3 s and a response after 2.4 s, the connection was closed before 2.4 s of idleness on the code before (twice: status None); passes after (twice).

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -354,6 +354,9 @@
     }
     m_queueSpaceTimer.cancel();
     writeNextResponse();
+    // Idleness begins with the end of the last response.
+    if (isIdle() && !m_closing)
+        startTimer(idleTimeout());
     unregisterIfDone();
 }
 
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -386,7 +386,7 @@
     return host, int(port)
 
 
-def configuration(version, routes, accounts, services=("desk", "archive")):
+def configuration(version, routes, accounts, services=("desk", "archive"), idle_timeout_s=15):
     """Returns a configuration as the operators publish it. `routes` are (prefix, kind, service or split, timeout, attempts,
     open)."""
     rules = []
@@ -397,7 +397,7 @@
                       "match": {"pathPrefix": prefix}, "action": action})
     return json.dumps({
         "version": f"r{version}",
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": idle_timeout_s},
         "tenants": accounts,
         "listeners": [{"host": "clubs.example", "routeRules": rules}],
         "clusters": [{"name": name, "healthCheck": "/health", "maxConnections": 360, "protocol": "h1", "tls": False} for name in services],
--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -22,6 +22,9 @@
 ENDLESS_CALLERS = 12
 # Of the smallest hosts of the users' deployments.
 HOST_MEMORY_MB = 160
+IDLE_TIMEOUT_S = 3
+# Callers reuse a connection for up to four fifths of the idle timeout.
+REUSE_S = IDLE_TIMEOUT_S * 4 / 5
 
 
 def request_is_served_for_its_account(fixture):
@@ -356,6 +359,29 @@
     fixture.hosts.pop()
 
 
+def connection_is_kept_for_the_idle_timeout_after_a_slow_response(fixture):
+    fixture.version += 3
+    routes = ROUTES + [("/slow/", "idempotent", "desk", 20, 1, False)]
+    fixture.store.put("keyed.op", "config", configuration(fixture.version, routes, ACCOUNTS, idle_timeout_s=IDLE_TIMEOUT_S))
+    # Hosts keep connections for the longest idle timeout that they have seen.
+    host = Gateway("patient", "a", fixture.store, fixture.directory, BUILD)
+    fixture.hosts.append(host)
+    host.await_ready()
+    for backend in fixture.backends:
+        backend.slow_paths = {"/slow/1": REUSE_S}
+    with Caller(host.callers) as caller:
+        for _ in range(2):
+            caller.send("GET", "/slow/1")
+            response = caller.receive()
+            check(response and response.status == 200, f"status {response and response.status}")
+            # The idle time that is tested.
+            time.sleep(REUSE_S)
+    for backend in fixture.backends:
+        backend.slow_paths = {}
+    fixture.hosts.pop().process.kill()
+    fixture.publish(ROUTES, ACCOUNTS)
+
+
 def refused_request_is_logged(fixture):
     response = send_request(fixture.hosts[0].callers, "GET", "/nowhere/2")
     wait_until(lambda: any(f"request={response.request_id}" in line and "code=no-route" in line for line in fixture.hosts[0].log_lines()),
@@ -368,7 +394,7 @@
          slow_reader_gets_complete_closing_response, endless_responses_fail_and_memory_stays_bounded,
          booking_past_its_deadline_fails_and_is_not_repeated, account_above_its_rate_is_refused_on_all_hosts_together,
          configuration_and_key_changes_reach_all_hosts, withdrawal_of_the_last_account_closes_its_routes,
-         host_starts_and_serves_within_the_address_space_of_a_small_host, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
+         host_starts_and_serves_within_the_address_space_of_a_small_host, connection_is_kept_for_the_idle_timeout_after_a_slow_response, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
          planned_stop_waits_for_slow_response]
 
