--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -39,7 +39,7 @@
     /// \returns whether no request is being received or served and no response is being sent.
     bool isIdle() const { return m_pending.empty() && !m_receiving; }
 
-    /// \brief Closes the connection if it is idle and was not opened a moment ago.
+    /// \brief Closes the connection if it is idle, no request has arrived and it was not opened a moment ago.
     void closeIfIdle();
 
     /// \returns whether the connection has been idle for so long that no request is to be expected in this moment.
@@ -78,6 +78,7 @@
     void writeNextResponse();
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
+    void beginClosing();
     void unregisterIfDone();
     void updateIdleOrder();
     void leaveIdleOrder();
@@ -107,6 +108,8 @@
     /// No further requests are accepted.
     bool m_closing = false;
     bool m_timedOut = false;
+    /// The connection is to be closed unless a request has arrived.
+    bool m_idleCloseDue = false;
     bool m_readerEnded = false;
     /// Whether data that came after the last response has been discarded and logged.
     bool m_discarded = false;
