A caller that goes on sending after its last response is disconnected

A refused caller that sent one byte now and then kept its connection, and a descriptor of the host, for as long as it liked: the time for which a host reads on after its last response began anew with each read. It now ends after 10 s in all.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -17,6 +17,8 @@
     // After the last response, data from the caller is still read and discarded for this long: closing a socket with
     // unread data would reset the connection, and the response could be lost.
     constexpr std::chrono::milliseconds lingerTime { 700 };
+    // A caller that goes on sending is not read for longer than this.
+    constexpr std::chrono::seconds maxLingerTime { 10 };
     constexpr std::chrono::seconds bodyTimeout { 20 };
     // Other bodies, whose memory a refused one can get, end within about this time.
     constexpr std::chrono::milliseconds bodyMemoryRetryDelay { 500 };
@@ -156,6 +158,10 @@
     startTimer(m_closing ? Duration(lingerTime) : idleTimeout());
     boost::system::error_code error;
     m_idleCloseDue = false;
+    if (m_closing && m_pending.empty() && !m_lingerEndsAt)
+        m_lingerEndsAt = m_services.clock.now() + maxLingerTime;
+    if (m_lingerEndsAt && m_services.clock.now() >= *m_lingerEndsAt)
+        co_return false;
     const std::size_t read = co_await m_socket.async_read_some(m_buffer.prepare(readChunkBytes), net::redirect_error(net::use_awaitable, error));
     m_timer.cancel();
     if (error == net::error::operation_aborted && m_idleCloseDue && !m_timedOut) {
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -112,6 +112,8 @@
     bool m_idleCloseDue = false;
     bool m_readerEnded = false;
     /// Whether data that came after the last response has been discarded and logged.
+    /// When reading ends after the last response.
+    std::optional<MonotonicTime> m_lingerEndsAt;
     bool m_discarded = false;
 };
 
--- a/tests/request_bodies_test.py
+++ b/tests/request_bodies_test.py
@@ -23,6 +23,11 @@
 REFUSED_UPLOADS = 24
 RESPONSE_S = 1
 SMALL_BYTES = 2000
+# Longer than a host reads on after its last response, in steps shorter than the pause that ends this earlier.
+TRICKLE_S = 13
+TRICKLE_INTERVAL_S = 0.3
+# A caller may read the response only after it has sent its body.
+SENT_BEFORE_END = 10
 
 
 def start_upload(endpoint, number, body, path="/book/upload", key="key-n", headers="", length=BODY_BYTES):
@@ -222,6 +227,23 @@
     check(not fixture.executions("upload-withdrawn"), "the upload was passed on")
 
 
+def refused_upload_that_goes_on_is_ended(fixture):
+    connection = start_upload(fixture.hosts[0].callers, "trickling", b"x", key="key-unknown")
+    check(receive_status(connection, RESPONSE_S) == 401, "not refused")
+    sent, ends_at = 0, time.monotonic() + TRICKLE_S
+    try:
+        while time.monotonic() < ends_at:
+            connection.sendall(b"x")
+            sent += 1
+            time.sleep(TRICKLE_INTERVAL_S)
+    except OSError:
+        check(sent > SENT_BEFORE_END, f"ended after {sent} bytes")
+        return
+    finally:
+        connection.close()
+    check(False, f"still read after {TRICKLE_S} s")
+
+
 def trace_request_with_a_body_is_malformed(fixture):
     response = send_request(fixture.hosts[0].callers, "TRACE", "/look/1", body=b"1234")
     check(response.status == 400, f"status {response.status}")
@@ -229,6 +251,7 @@
 
 
 CASES = [
+    refused_upload_that_goes_on_is_ended,
     trace_request_with_a_body_is_malformed,
     uploads_with_an_unknown_key_are_refused_before_their_end,
     uploads_on_an_unknown_route_are_refused_before_their_end,
