Idle connections of callers are closed in one way

A connection whose idle time was over was closed without a look for data that had arrived, and with no time in which late data is read, so that a request could be reset. A timer that had expired in the turn in which it was set anew could also end the connection of a request that was just being received. The idle timeout now takes the way of a planned stop: the reader looks for data, closes its end and reads on.

--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -131,12 +131,15 @@
     m_timer.expires_after(timeout);
     m_timer.async_wait([weak = weak_from_this(), timeout](const boost::system::error_code& error) {
         const auto self = weak.lock();
-        if (error || !self)
+        // A timer that had expired when it was set anew still calls.
+        if (error || !self || self->m_timer.expiry() > net::steady_timer::clock_type::now())
             return;
         // While responses are outstanding, cancelling the socket's operations would abort the response that is being
         // written.
         if (!self->m_pending.empty())
             return self->startTimer(timeout);
+        if (self->isIdle() && !self->m_closing)
+            return self->closeIdle();
         self->m_timedOut = true;
         boost::system::error_code ignored;
         self->m_socket.shutdown(net::socket_base::shutdown_receive, ignored);
@@ -455,12 +458,17 @@
     }
 }
 
-// The reader closes the connection, as a request may have arrived that it has not been told of yet.
 void CallerConnection::closeIfIdle()
 {
     if (!isIdle() || m_closing || m_services.clock.now() - m_acceptedAt < firstRequestTime)
         return;
     m_idleCloseDue = true;
+    closeIdle();
+}
+
+// The reader closes the connection, as a request may have arrived that it has not been told of yet.
+void CallerConnection::closeIdle()
+{
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
 }
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -78,6 +78,7 @@
     void writeNextResponse();
     void onResponseWritten(const boost::system::error_code&);
     void onCallerDisconnected();
+    void closeIdle();
     void beginClosing();
     void unregisterIfDone();
     void updateIdleOrder();
