--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -425,7 +425,8 @@
     m_used = true;
     if (error) {
         onCallerDisconnected();
-        m_socket.close();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
     } else if (closesConnection) {
         // Requests pipelined after a closing response are dropped as if they had not been received.
         onCallerDisconnected();
