--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -158,13 +158,13 @@
         m_buffer.clear();
     if (m_buffer.size() > 0)
         co_return true;
-    startTimer(m_closing ? Duration(lingerTime) : idleTimeout());
-    boost::system::error_code error;
-    m_idleCloseDue = false;
     if (m_closing && m_pending.empty() && !m_lingerEndsAt)
         m_lingerEndsAt = m_services.clock.now() + maxLingerTime;
     if (m_lingerEndsAt && m_services.clock.now() >= *m_lingerEndsAt)
         co_return false;
+    startTimer(m_closing ? Duration(lingerTime) : idleTimeout());
+    boost::system::error_code error;
+    m_idleCloseDue = false;
     const std::size_t read = co_await m_socket.async_read_some(m_buffer.prepare(readChunkBytes), net::redirect_error(net::use_awaitable, error));
     m_timer.cancel();
     if (error == net::error::operation_aborted && m_idleCloseDue && !m_timedOut) {
@@ -298,11 +298,11 @@
     const auto id = request->message[m_services.headerNames.requestId];
     request->id.assign(id.data(), id.size());
     request->arrivedAt = m_services.clock.now();
+    if (closesBeforeNextRequest())
+        return true;
     auto refusal = refuseByHeader(m_services, *request);
     if (!refusal)
         return false;
-    if (closesBeforeNextRequest())
-        return true;
     auto pending = std::make_shared<PendingRequest>();
     pending->request = request;
     pending->closesConnection = !keepsConnection;
@@ -463,13 +463,13 @@
 {
     if (!isIdle() || m_closing || m_services.clock.now() - m_acceptedAt < firstRequestTime)
         return;
-    m_idleCloseDue = true;
     closeIdle();
 }
 
 // The reader closes the connection, as a request may have arrived that it has not been told of yet.
 void CallerConnection::closeIdle()
 {
+    m_idleCloseDue = true;
     boost::system::error_code ignored;
     m_socket.cancel(ignored);
 }
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.h
@@ -112,9 +112,9 @@
     /// The connection is to be closed unless a request has arrived.
     bool m_idleCloseDue = false;
     bool m_readerEnded = false;
-    /// Whether data that came after the last response has been discarded and logged.
     /// When reading ends after the last response.
     std::optional<MonotonicTime> m_lingerEndsAt;
+    /// Whether data that came after the last response has been discarded and logged.
     bool m_discarded = false;
 };
 
