A gateway host exits without destroying what it holds

A second SIGTERM at the end of a planned stop ended the process by signal 15: handlers are gone once the host has begun to be destroyed. The destruction also waits for threads of the transport between hosts, without a bound, while the platform kills the process 0.35 s later.

When the event loop has ended and the log is written, all that was promised has been done, so that the process exits there. Builds with the address sanitizer still run the destructors of static objects and look for leaks; the host stays reachable in them.

tests/planned_stop_test.py signals_until_the_exit_of_a_host_leave_its_exit_code failed before with "exit code -15" and passes after.

The test of requests that arrive before a connection is closed told crossing requests from dropped ones by elapsed milliseconds, which a busy caller exceeds.

--- a/programs/lacewingd/main.cpp
+++ b/programs/lacewingd/main.cpp
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -29,6 +30,13 @@
     constexpr std::size_t threadStackBytes = 512 * 1024;
     constexpr int memoryArenas = 1;
 
+    // A sanitizer reports crashes itself, and leaks when the static objects are destroyed.
+#ifdef __SANITIZE_ADDRESS__
+    constexpr bool isSanitized = true;
+#else
+    constexpr bool isSanitized = false;
+#endif
+
     struct Options {
         std::string settingsFile;
         /// Whether to run a gateway host, whose settings file LACEWINGSAIL_CONFIG names.
@@ -172,9 +180,15 @@
         Options options;
         if (!parseOptions(argumentCount, arguments, options))
             return exitUsage;
-        reportCrashes();
-        if (options.gateway)
-            return runGateway(options.checkOnly);
+        if (!isSanitized)
+            reportCrashes();
+        if (options.gateway) {
+            const int code = runGateway(options.checkOnly);
+            // Static objects are not destroyed, as threads of the libraries still use them.
+            if (!isSanitized)
+                std::_Exit(code);
+            return code;
+        }
         const sigset_t signals = gatewaySignals();
         pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
         auto settings = readHostSettings(options.settingsFile);
--- a/tests/planned_stop_test.py
+++ b/tests/planned_stop_test.py
@@ -3,7 +3,6 @@
 
 import itertools
 import os
-import select
 import socket
 import sys
 import threading
@@ -29,12 +28,12 @@
 # Short, so that some connections come in the very moment of the exit.
 IDLE_CALL_INTERVAL_S = 0.004
 IDLE_STOPS = 3
-# Kept connections that are used once around the time at which a stopping host closes the idle ones.
-KEPT_CONNECTIONS = 1500
-KEPT_USE_S = (BALANCER_REACTION_S - 0.1, BALANCER_REACTION_S + 0.3)
-# A close that a caller sees within this time of its request may have been sent before the request arrived.
-CROSSING_S = 0.003
-ANSWER_S = 4
+# Kept connections, more than a host handles in one turn of its event loop.
+KEPT_CONNECTIONS = 300
+# A host is frozen from this long before it would close idle connections.
+FREEZE_S = 0.4
+# Longer than from one look of a stopping host at its connections to the next.
+CHECK_INTERVAL_S = 0.15
 
 
 class StoppingHost:
@@ -232,56 +231,45 @@
         check(statuses.count(200) > CALLS_BEFORE_STOP, f"{statuses}")
 
 
-def use_kept_connections(host, callers):
-    """Stops the host, sends a request on each connection that is still open at a time of its own within KEPT_USE_S, and returns
-    (request id, seconds until the first byte or the end, whether a byte came) of each."""
-    times = [KEPT_USE_S[0] + (KEPT_USE_S[1] - KEPT_USE_S[0]) * index / len(callers) for index in range(len(callers))]
-    poll, sent, results, closed = select.epoll(), {}, [], set()
-    by_descriptor = {caller.socket.fileno(): caller for caller in callers}
-    for descriptor in by_descriptor:
-        poll.register(descriptor, select.EPOLLIN)
-    host.process.terminate()
-    started, upcoming = time.monotonic(), 0
-    while upcoming < len(callers) or (sent and time.monotonic() < started + KEPT_USE_S[1] + ANSWER_S):
-        due = started + times[upcoming] - time.monotonic() if upcoming < len(callers) else 0.1
-        for descriptor, _ in poll.poll(max(0, due)):
-            poll.unregister(descriptor)
-            closed.add(descriptor)
-            if descriptor in sent:
-                request_id, sent_at = sent.pop(descriptor)
-                elapsed = time.monotonic() - sent_at
-                results.append((request_id, elapsed, by_descriptor[descriptor].first_byte()))
-        while upcoming < len(callers) and started + times[upcoming] <= time.monotonic():
-            caller = callers[upcoming]
-            upcoming += 1
-            if caller.socket.fileno() not in closed:
-                sent[caller.socket.fileno()] = (caller.send("POST", "/order/1", body=b"clock", deadline_ms=1000), time.monotonic())
-    return results + [(request_id, ANSWER_S, False) for request_id, _ in sent.values()]
-
-
 def request_that_arrives_before_a_stopping_host_closes_its_connection_is_answered(fixture):
+    """A host that was frozen finds at once that idle connections are due to be closed and that requests have arrived on them."""
     with StoppingHost(fixture) as host:
         callers = [Caller(host.callers) for _ in range(KEPT_CONNECTIONS)]
         try:
             for caller in callers:
                 caller.send("GET", "/long/1")
                 check(caller.receive().status == 200, "a request before the stop")
-            results = use_kept_connections(host, callers)
+            host.process.terminate()
+            time.sleep(BALANCER_REACTION_S - FREEZE_S)
+            host.process.freeze()
+            # The host's next look at its connections is due before the requests arrive.
+            time.sleep(CHECK_INTERVAL_S)
+            for caller in callers:
+                caller.send("POST", "/order/1", body=b"clock", deadline_ms=2000)
+            time.sleep(2 * FREEZE_S)
+            host.process.thaw()
+            unanswered = sum(not caller.first_byte() for caller in callers)
         finally:
             for caller in callers:
                 caller.__exit__()
         check(host.process.wait() == 0, "exit code")
-    unanswered = [each for each in results if not each[2]]
-    print(f"{len(results)} requests, {len(unanswered)} without an answer", flush=True)
-    check(len(results) > KEPT_CONNECTIONS / 10, f"{len(results)} requests were sent")
-    check(all(elapsed < CROSSING_S for _, elapsed, _ in unanswered), f"{unanswered}")
+    check(unanswered == 0, f"{unanswered} of {len(callers)} without an answer")
+
+
+def signals_until_the_exit_of_a_host_leave_its_exit_code(fixture):
+    for _ in range(IDLE_STOPS):
+        with StoppingHost(fixture) as host:
+            while host.process.alive():
+                host.process.terminate()
+            check(host.process.wait() == 0, f"exit code {host.process.wait()}")
 
 
 CASES = [finished_response_behind_an_unfinished_one_is_sent_before_the_stop_ends, unfinished_booking_is_answered_before_the_stop_ends,
          request_pipelined_after_the_start_of_a_stop_is_not_passed_on, request_that_may_outlast_a_stop_is_refused_late_in_it, upload_that_may_outlast_a_stop_is_refused_before_its_end, request_on_a_connection_accepted_late_in_a_stop_is_answered,
          booking_of_a_half_closed_connection_is_answered_during_a_stop, bookings_that_come_during_the_whole_stop_are_answered,
          connections_that_come_while_an_idle_host_exits_are_answered,
-         request_that_arrives_before_a_stopping_host_closes_its_connection_is_answered]
+         request_that_arrives_before_a_stopping_host_closes_its_connection_is_answered,
+         signals_until_the_exit_of_a_host_leave_its_exit_code]
 
 if __name__ == "__main__":
     sys.exit(run_cases(CASES))
