A host that waits for a port neither is ready nor serves other hosts

Found by review: the port between hosts was opened first, so that news of another host made a host ready whose port for callers was still taken, and it coordinated with an old state. All ports are now taken in one turn, that between hosts last, and readiness needs them all. It waits for 90 s, as the port of a closed outgoing connection stays taken for a minute.

--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -30,9 +30,10 @@
     constexpr std::size_t assumedDescriptorLimit = 1024;
     // Between two lines on one lasting shortage.
     constexpr std::chrono::seconds shortageLogInterval { 5 };
-    // A port may be taken by a predecessor that still drains, or by an outgoing connection of another process.
     constexpr std::chrono::milliseconds listenRetryDelay { 100 };
-    constexpr std::chrono::seconds listenPatience { 30 };
+    // A port may be taken by a predecessor that still drains, or by an outgoing connection of another process, which keeps it for a
+    // minute after its end (TIME_WAIT).
+    constexpr std::chrono::seconds listenPatience { 90 };
     constexpr std::chrono::milliseconds drainCheckInterval { 100 };
     // By then two exchanges with the seeds have taken place, if any of them is alive.
     constexpr std::chrono::milliseconds discoveryDelay { 1100 };
@@ -135,8 +136,10 @@
     std::error_code startError;
 
     std::optional<internal::ListenFailure> listen();
+    std::error_code listenForProbes();
+    std::error_code listenForOperators();
     std::error_code listenForHosts();
-    std::error_code listenForCallers();
+    std::error_code acceptFrom(int callerSocket);
     void start(MonotonicTime deadline);
     void serve();
     net::awaitable<void> accept();
@@ -183,48 +186,56 @@
     return {};
 }
 
-std::error_code GatewayHost::Implementation::listenForCallers()
+std::error_code GatewayHost::Implementation::listenForProbes()
 {
     std::error_code error;
-    const int socket = openListeningSocket(settings.callers, error);
+    if (readinessServer)
+        return error;
+    readinessServer = std::make_unique<HttpServer>(
+        settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error, internal::maxProbeBodyBytes);
     if (error)
+        readinessServer.reset();
+    return error;
+}
+
+std::error_code GatewayHost::Implementation::listenForOperators()
+{
+    std::error_code error;
+    if (operatorServer)
         return error;
-    boost::system::error_code assignError;
-    acceptor.assign(net::ip::make_address(settings.callers.address).is_v6() ? net::ip::tcp::v6() : net::ip::tcp::v4(), socket, assignError);
-    if (assignError)
-        ::close(socket);
-    return assignError;
+    operatorServer = std::make_unique<HttpServer>(
+        settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error, internal::maxProbeBodyBytes);
+    if (error)
+        operatorServer.reset();
+    return error;
 }
 
-// Ports that are listened on already are left as they are. That for callers is the last one, so that none waits for an answer
-// while another port is taken.
+// Callers and other hosts are served only once all ports are listened on.
 std::optional<internal::ListenFailure> GatewayHost::Implementation::listen()
 {
-    if (!calls) {
-        if (const std::error_code error = listenForHosts())
-            return internal::ListenFailure { "peers", settings.peers, error };
-    }
     std::error_code error;
-    if (!readinessServer) {
-        readinessServer = std::make_unique<HttpServer>(
-            settings.readiness, 1, [this](const HttpRequest&) { return HttpResponse { ready ? 200 : 503, {}, {} }; }, error, internal::maxProbeBodyBytes);
-        if (error) {
-            readinessServer.reset();
-            return internal::ListenFailure { "readiness", settings.readiness, error };
-        }
-    }
-    if (!operatorServer) {
-        operatorServer = std::make_unique<HttpServer>(
-            settings.operators, 1, [this](const HttpRequest& request) { return answerOperator(request); }, error, internal::maxProbeBodyBytes);
-        if (error) {
-            operatorServer.reset();
-            return internal::ListenFailure { "operators", settings.operators, error };
-        }
-    }
-    error = listenForCallers();
+    const int callerSocket = openListeningSocket(settings.callers, error);
     if (error)
         return internal::ListenFailure { "callers", settings.callers, error };
-    return std::nullopt;
+    std::optional<internal::ListenFailure> failure;
+    if ((error = listenForProbes()))
+        failure = { "readiness", settings.readiness, error };
+    else if ((error = listenForOperators()))
+        failure = { "operators", settings.operators, error };
+    else if ((error = listenForHosts()))
+        failure = { "peers", settings.peers, error };
+    else if ((error = acceptFrom(callerSocket)))
+        failure = { "callers", settings.callers, error };
+    if (failure)
+        ::close(callerSocket);
+    return failure;
+}
+
+std::error_code GatewayHost::Implementation::acceptFrom(int callerSocket)
+{
+    boost::system::error_code error;
+    acceptor.assign(net::ip::make_address(settings.callers.address).is_v6() ? net::ip::tcp::v6() : net::ip::tcp::v4(), callerSocket, error);
+    return error;
 }
 
 void GatewayHost::Implementation::start(MonotonicTime deadline)
@@ -358,7 +369,7 @@
     backends.update(registry);
     placementCoordinator.update();
     const bool serversKnown = follower.serversAsOf() != MonotonicTime {} || !registry.entries().empty();
-    ready = active.current() && serversKnown && !connections.plannedStop;
+    ready = started && active.current() && serversKnown && !connections.plannedStop;
 }
 
 void GatewayHost::Implementation::followStore()
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.h
@@ -36,7 +36,7 @@
     /// \brief Serves requests until a planned stop, which SIGTERM or SIGINT starts, is complete. SIGHUP reloads the
     /// settings. Unblocks these signals in the calling thread: the process may block them at its start, so that those that come
     /// before their handlers are installed are handled too.
-    /// A port that is taken is tried again for 30 s; the host is not ready meanwhile.
+    /// A port that is taken is tried again for 90 s; the host is not ready meanwhile.
     /// \returns an error if the host cannot listen; the event `host-not-started` tells the endpoint.
     std::error_code run();
 
