--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -101,7 +101,7 @@
     bool isHostExhausted(const boost::system::error_code& error)
     {
         namespace errc = boost::system::errc;
-        return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system || error == errc::no_buffer_space || error == errc::not_enough_memory;
+        return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system || error == errc::no_buffer_space || error == errc::not_enough_memory || error == errc::address_not_available;
     }
 
     bool isRepeatable(const RequestState& request) { return request.route->repeatable; }
