Test: the port between hosts survives a lack of descriptors

With the cap on callers 300 of them no longer use up the descriptors of the host, so that the test set nothing off. It lowers the host's limit now, and waits for the failed accept.

--- a/tests/listeners_test.py
+++ b/tests/listeners_test.py
@@ -20,6 +20,8 @@
 # Shorter than the time for which a host waits for its ports.
 START_S = 10
 FEW_DESCRIPTORS = 89
+# Fewer than a host has open.
+NO_DESCRIPTORS = 3
 IDLE_CALLERS = 300
 IDLE_S = 2
 # An HTTP/2 server sends its settings to each connection that begins like this.
@@ -133,9 +135,13 @@
         idle = []
         for _ in range(IDLE_CALLERS):
             idle.append(socket.create_connection(host_and_port(host.callers), timeout=2))
+        usual = resource.prlimit(host.process.child.pid, resource.RLIMIT_NOFILE)
+        resource.prlimit(host.process.child.pid, resource.RLIMIT_NOFILE, (NO_DESCRIPTORS, usual[1]))
         # In this time the host finds no descriptor for the other host.
         with socket.create_connection(host_and_port(host.peers), timeout=2):
+            wait_until(lambda: any(host.peers in line for line in started.events("accept-failed")), "the host to lack descriptors", START_S)
             time.sleep(IDLE_S)
+        resource.prlimit(host.process.child.pid, resource.RLIMIT_NOFILE, usual)
         for connection in idle:
             connection.close()
         wait_until(lambda: answers_http2(host.peers), "the port between hosts to be served", START_S)
