--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -169,6 +169,8 @@
 std::error_code GatewayHost::Implementation::listenForHosts()
 {
     std::error_code error;
+    if (calls)
+        return error;
     GatewayCalls::Handlers handlers;
     handlers.exchange = [this](const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply) { exchange.handleRequest(request, reply); };
     handlers.grantTokens = [this](const TokenDemand& demand) { return tokens.grant(demand); };
