Test: the caller's connection is accepted before the host lacks descriptors

Its caller had connected, but a busy host had not accepted it yet when the limit was lowered; frozen while the caller connects, the host gives the same failure. The case now gets a response on that connection first; what it checks stays the same.

--- a/tests/descriptors_test.py
+++ b/tests/descriptors_test.py
@@ -131,7 +131,9 @@
     with running_host(fixture, "short", descriptors=512) as host, Caller(host.callers) as caller:
         pid = host.process.child.pid
         hard = resource.prlimit(pid, resource.RLIMIT_NOFILE)[1]
-        wait_until(lambda: open_descriptors(host) > 8, "connections")
+        # Shows that the connection has been accepted, and opens none to a server.
+        caller.send("GET", "/nowhere/1")
+        check(caller.receive().status == 404, "status before the lack")
         resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, hard))
         try:
             for _ in range(5):
