--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -174,6 +174,9 @@
     message.set_repeat(demand.isRetry);
     message.set_waited_ms(milliseconds(demand.age));
     message.set_number(demand.placementId);
+    message.set_route(demand.route.value());
+    message.set_priority(demand.priority.value);
+    message.set_account(demand.account.value());
 }
 
 PlacementCell decodeCell(const protocol::PlacementDemand& message)
@@ -187,6 +190,9 @@
     PlacementDemand demand;
     demand.placementId = message.number();
     demand.service = ServiceId(message.cell().service());
+    demand.route = RouteId(message.route());
+    demand.priority = Priority { message.priority() };
+    demand.account = ClientAccountId(message.account());
     for (const std::string& id : message.excluded())
         demand.excludedServers.emplace_back(id);
     demand.latencyObjective = std::chrono::milliseconds(message.objective_ms());
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -141,10 +141,14 @@
         return candidate;
     }
 
+    Priority priorityOf(const RequestState& request)
+    {
+        return request.account && request.account->priority ? *request.account->priority : request.route->priority;
+    }
+
     double maxLoadPerSlotFor(const RequestState& request)
     {
-        const Priority priority = request.account && request.account->priority ? *request.account->priority : request.route->priority;
-        return priority <= urgentPriority ? maxLoadPerSlotUrgent : maxLoadPerSlotOther;
+        return priorityOf(request) <= urgentPriority ? maxLoadPerSlotUrgent : maxLoadPerSlotOther;
     }
 
     PlacementConstraints placementConstraints(const RequestServices& services, const RequestState& request)
@@ -198,6 +202,10 @@
         const MonotonicTime now = services.clock.now();
         PlacementDemand demand;
         demand.service = request.service;
+        demand.route = request.route->id;
+        demand.priority = priorityOf(request);
+        if (request.account)
+            demand.account = request.account->id;
         demand.excludedServers = request.excludedServers;
         demand.latencyObjective = request.route->targetLatency;
         demand.timeToDeadline = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - now);
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -61,6 +61,12 @@
     /// Id of the placement, unique in the fleet; zero if the coordinator is to choose one.
     std::uint64_t placementId = 0;
     ServiceId service;
+    /// Identifies the kind of work.
+    RouteId route;
+    /// Of the account if that has one, otherwise of the route.
+    Priority priority { 1 };
+    /// Empty if the request has no account.
+    ClientAccountId account;
     /// Servers that it may not be sent to: already tried, or unreachable from its host.
     std::vector<BackendServerId> excludedServers;
     std::chrono::milliseconds latencyObjective { 0 };
--- a/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
+++ b/packages/wire/lacewingsail/src/Wire/GatewaySettingsCodec.cpp
@@ -11,6 +11,8 @@
     constexpr double longestBoundSeconds = 86'400;
     constexpr double mostRetrySlack = 1e6;
     constexpr double mostRateSlack = 1e6;
+    constexpr double mostColdOvershoot = 1e6;
+    constexpr double mostColdSlack = 1e6;
     constexpr double mostProcessorShare = 1024;
     constexpr double minLinkMegabits = 0.1;
     constexpr double maxLinkMegabits = 1e6;
@@ -44,6 +46,8 @@
         bounds.rateSlack = reader.number("rate_slack", 0, mostRateSlack, bounds.rateSlack);
         bounds.rateWindow = readSeconds(reader, "rate_window", bounds.rateWindow);
         bounds.floorShare = reader.number("floor_share", 0, 1, bounds.floorShare);
+        bounds.coldOvershoot = reader.number("cold_overshoot", 0, mostColdOvershoot, bounds.coldOvershoot);
+        bounds.coldSlack = reader.number("cold_slack", 0, mostColdSlack, bounds.coldSlack);
         reader.finish();
         return bounds;
     }
--- a/packages/world/lacewingsail/src/World/Contracts.h
+++ b/packages/world/lacewingsail/src/World/Contracts.h
@@ -31,6 +31,8 @@
     EjectionMode mode = EjectionMode::Automatic;
     /// Connections that each backend server takes from all hosts together; 0 if not stated.
     int mostConnections = 0;
+    /// What a server that has just started bears while it is cold; 0 if not stated.
+    RequestsPerSecond coldRate {};
 
     bool operator==(const Service&) const = default;
 };
--- a/packages/world/lacewingsail/src/World/GatewaySettings.h
+++ b/packages/world/lacewingsail/src/World/GatewaySettings.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds rateWindow { 5000 };
     /// Share of a service's sound backend servers that must stay in use.
     double floorShare = 0.7;
+    /// What a cold server may get in one second from all hosts: its service's cold rate times this factor, and requests beyond.
+    double coldOvershoot = 1;
+    double coldSlack = 0;
 
     bool operator==(const GatewayBounds&) const = default;
 };
--- a/packages/world/lacewingsail/src/World/Units.h
+++ b/packages/world/lacewingsail/src/World/Units.h
@@ -31,6 +31,13 @@
 /// \returns what \p rate yields in \p elapsed, rounded down. One token a second is one micro-token a microsecond.
 constexpr MicroTokens refill(TokensPerSecond rate, std::chrono::microseconds elapsed) { return { rate.value * elapsed.count() }; }
 
+/// \brief Rate at which requests are sent, per second.
+struct RequestsPerSecond {
+    double value = 0;
+
+    auto operator<=>(const RequestsPerSecond&) const = default;
+};
+
 /// \brief Share of a whole, in percent.
 struct Percent {
     int value = 0;
