Evacuated zones: hosts send their servers nothing until the operators take it back

Callers of a deployment that evacuates a zone still had their requests sent there: the record in the configuration's stream was skipped. It is now read with its zone (the key is decoded in platform/), kept with its position (Evacuations, in ServerRegistry), carried by every update between hosts, and asked for by the table of servers, the coordinators' cells and the check before a request is sent. Hosts without servers in their own zone spread their load by free capacity instead of sending all of it to the least loaded zone.

--- a/packages/discovery/lacewingsail/Discovery.h
+++ b/packages/discovery/lacewingsail/Discovery.h
@@ -11,5 +11,6 @@
 #include "src/Discovery/RecordStore.h"
 
 #include "src/Discovery/ActiveConfiguration.h"
+#include "src/Discovery/Evacuations.h"
 #include "src/Discovery/ServerRegistry.h"
 #include "src/Discovery/StoreFollower.h"
--- a/packages/discovery/lacewingsail/src/Discovery/ForwardDeclarations.h
+++ b/packages/discovery/lacewingsail/src/Discovery/ForwardDeclarations.h
@@ -3,6 +3,7 @@
 namespace lacewingsail {
 
 class ActiveConfiguration;
+class Evacuations;
 class RecordStore;
 class ServerRegistry;
 class StoreFollower;
@@ -10,5 +11,6 @@
 struct KeyedRecord;
 struct StoreAppendResult;
 struct StoreReadResult;
+struct ZoneEvacuation;
 
 } // namespace lacewingsail
--- a/packages/discovery/lacewingsail/src/Discovery/RecordStore.h
+++ b/packages/discovery/lacewingsail/src/Discovery/RecordStore.h
@@ -12,7 +12,7 @@
 
 /// \brief Streams of keyed records in the store. The latest record of a key replaces the earlier ones.
 enum class RecordStream {
-    /// The operators' configuration.
+    /// The operators' configuration, and the zones that they evacuate.
     Configuration,
     /// Registrations of backend servers.
     Servers,
@@ -20,12 +20,21 @@
     Hosts,
 };
 
+/// \brief The availability zone whose evacuation a record orders or takes back.
+struct EvacuationKey {
+    ZoneId zone;
+    /// The record's value cannot be read: the last valid record of the zone holds.
+    bool malformed = false;
+};
+
 /// \brief One record of a stream.
 struct KeyedRecord {
     LogOffset offset {};
     std::string key;
     /// Nothing if the record deletes its key.
     std::optional<std::string> value;
+    /// Set if the record is about a zone's evacuation. A record with a value orders it.
+    std::optional<EvacuationKey> evacuation {};
 };
 
 /// \brief Result of reading a stream.
--- a/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
@@ -10,6 +10,8 @@
     constexpr std::chrono::milliseconds renewalGracePeriod { 2300 };
     // A host that has received no updates for this long needs all servers again.
     constexpr std::chrono::seconds tombstoneRetention { 60 };
+    // Two heartbeats of a server: by then its registration says for how long it stays cold.
+    constexpr std::chrono::milliseconds assumedColdPeriod { 3000 };
 
     // Ignores the fields that change with every heartbeat.
     bool differs(const RegisteredServer& left, const RegisteredServer& right)
@@ -34,14 +36,14 @@
     const MonotonicTime warmupEndsAt = now + change.server->warmupLeft;
     const auto found = m_entries.find(change.id);
     if (found == m_entries.end()) {
-        m_entries.emplace(change.id, Entry { *change.server, change.position, warmupEndsAt, std::nullopt });
+        m_entries.emplace(change.id, Entry { *change.server, change.position, warmupEndsAt, std::nullopt, {} });
         return true;
     }
     Entry& entry = found->second;
     const bool renewed = entry.expiredAt && !change.expiredFor && change.position >= entry.changePosition;
     const bool changed = internal::differs(entry.registration, *change.server) || renewed;
     entry.registration = *change.server;
-    entry.warmupEndsAt = warmupEndsAt;
+    entry.warmupEndsAt = std::max(warmupEndsAt, entry.assumedColdUntil);
     if (renewed)
         entry.expiredAt.reset();
     // An expired entry keeps the position of its expiry. A change of an older era keeps that era, so that other hosts hear of it.
@@ -148,6 +150,31 @@
     return changed;
 }
 
+bool ServerRegistry::apply(const ZoneEvacuation& record, std::string_view source, MonotonicTime now)
+{
+    const EvacuationChange change = m_evacuations.apply(record);
+    if (change == EvacuationChange::None)
+        return false;
+    Event event(change == EvacuationChange::Began ? "evacuation-learned" : change == EvacuationChange::Ended ? "evacuation-taken-back"
+                                                                                                             : "evacuation-refused");
+    event.with("zone", record.zone).with("era", static_cast<long long>(number(record.position.era))).with("offset", static_cast<long long>(number(record.position.offset)));
+    log(event.with("source", source));
+    // They may all have been restarted meanwhile.
+    if (change == EvacuationChange::Ended)
+        assumeCold(record.zone, now + internal::assumedColdPeriod);
+    return change != EvacuationChange::Refused;
+}
+
+void ServerRegistry::assumeCold(const ZoneId& zone, MonotonicTime until)
+{
+    for (auto& [id, entry] : m_entries) {
+        if (entry.registration.zone != zone)
+            continue;
+        entry.assumedColdUntil = std::max(entry.assumedColdUntil, until);
+        entry.warmupEndsAt = std::max(entry.warmupEndsAt, until);
+    }
+}
+
 void ServerRegistry::advanceEnd(StorePosition end) { m_end = std::max(m_end, end); }
 
 bool ServerRegistry::removeExpired(StoreHealth health, MonotonicTime now)
--- a/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.h
+++ b/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "Evacuations.h"
+
 #include <lacewingsail/World.h>
 
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace lacewingsail {
@@ -44,11 +47,27 @@
         StorePosition changePosition {};
         MonotonicTime warmupEndsAt {};
         std::optional<MonotonicTime> expiredAt;
+        /// The server counts as cold until then, whatever its registration says.
+        MonotonicTime assumedColdUntil {};
     };
     using Entries = std::map<BackendServerId, Entry>;
 
     const Entries& entries() const { return m_entries; }
 
+    /// \returns the zones whose servers get no new requests.
+    const Evacuations& evacuations() const { return m_evacuations; }
+
+    /// \returns whether the server may get new requests, as far as the records say.
+    bool acceptsRequests(const RegisteredServer& server) const { return !server.draining && !m_evacuations.isEvacuated(server.zone); }
+
+    /// \brief Applies a record on a zone's evacuation. The servers of a zone whose evacuation has ended count as cold for a while.
+    /// \param source the host that sent it, or ActiveConfiguration::storeSource; logged.
+    /// \returns whether the servers in use changed.
+    bool apply(const ZoneEvacuation&, std::string_view source, MonotonicTime now);
+
+    /// \brief Records that the servers of a zone are cold at least until \p until, although their registrations may not say so yet.
+    void assumeCold(const ZoneId&, MonotonicTime until);
+
     /// \returns the position before which all records have been applied.
     StorePosition end() const { return m_end; }
 
@@ -90,6 +109,7 @@
     void pruneTombstones(MonotonicTime now);
 
     Entries m_entries;
+    Evacuations m_evacuations;
     /// Removed servers, for hosts that do not know of the removal yet.
     std::map<BackendServerId, Tombstone> m_tombstones;
     StorePosition m_end {};
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.cpp
@@ -165,7 +165,13 @@
     }
     if (result.code != ResultCode::Ok)
         return recordFailure(followed, result.code);
-    const bool changed = followed.stream == RecordStream::Configuration ? applyConfiguration(result) : applyServers(result, isSnapshot);
+    bool changed = false;
+    if (followed.stream == RecordStream::Configuration) {
+        changed = applyEvacuations(result, isSnapshot);
+        changed = applyConfiguration(result) || changed;
+    } else {
+        changed = applyServers(result, isSnapshot);
+    }
     followed.next = { result.era, result.nextOffset };
     // A long poll without records shows that there were none until its end.
     const bool timedOut = !isSnapshot && followed.stream == RecordStream::Configuration && result.records.empty();
@@ -178,12 +184,38 @@
 {
     bool changed = false;
     for (const KeyedRecord& record : result.records) {
-        if (record.value)
+        if (record.value && !record.evacuation)
             changed = m_active.applyIfNewer(*record.value, ActiveConfiguration::storeSource) || changed;
     }
     return changed;
 }
 
+// A zone of which a snapshot shows a record that cannot be read is not missing from it.
+bool StoreFollower::applyEvacuations(const StoreReadResult& result, bool isSnapshot)
+{
+    const MonotonicTime now = m_clock.now();
+    bool changed = false;
+    std::vector<ZoneId> shown;
+    for (const KeyedRecord& record : result.records) {
+        if (!record.evacuation)
+            continue;
+        const ZoneId& zone = record.evacuation->zone;
+        const bool valid = isValidName(zone.value());
+        if (!valid || record.evacuation->malformed) {
+            log(Event("evacuation-record-malformed").with("offset", static_cast<long long>(number(record.offset))).with("reason", valid ? "value" : "zone"));
+            shown.push_back(zone);
+            continue;
+        }
+        shown.push_back(zone);
+        changed = m_registry.apply({ zone, { result.era, record.offset }, !record.value }, ActiveConfiguration::storeSource, now) || changed;
+    }
+    if (!isSnapshot)
+        return changed;
+    for (const ZoneEvacuation& end : m_registry.evacuations().missingFrom(shown, { result.era, result.nextOffset }))
+        changed = m_registry.apply(end, ActiveConfiguration::storeSource, now) || changed;
+    return changed;
+}
+
 // A key that cannot be the id of a server is skipped altogether: its removal could not be sent to other hosts either.
 std::optional<ServerChange> StoreFollower::decode(const KeyedRecord& record, StoreEra era) const
 {
--- a/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
+++ b/packages/discovery/lacewingsail/src/Discovery/StoreFollower.h
@@ -21,7 +21,7 @@
     Standby,
 };
 
-/// \brief Follows the configuration and the registrations in the store and tracks how old the known state is.
+/// \brief Follows the configuration, the evacuated zones and the registrations in the store and tracks how old the known state is.
 ///
 /// All calls and callbacks run on the event loop's thread.
 class StoreFollower {
@@ -74,6 +74,7 @@
     void handleRead(FollowedStream&, const StoreReadResult&, MonotonicTime requestedAt, bool isSnapshot);
     bool belongsToAnotherEra(FollowedStream&, const StoreReadResult&, bool isSnapshot);
     bool applyConfiguration(const StoreReadResult&);
+    bool applyEvacuations(const StoreReadResult&, bool isSnapshot);
     bool applyServers(const StoreReadResult&, bool isSnapshot);
     std::optional<ServerChange> decode(const KeyedRecord&, StoreEra) const;
     void advanceAsOf(FollowedStream&, MonotonicTime asOf);
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.cpp
@@ -159,6 +159,21 @@
     return change;
 }
 
+void encode(const ZoneEvacuation& evacuation, protocol::ZoneEvacuation& message)
+{
+    message.set_zone(evacuation.zone.value());
+    message.set_offset(number(evacuation.position.offset));
+    message.set_era(number(evacuation.position.era));
+    message.set_ended(evacuation.ended);
+}
+
+std::optional<ZoneEvacuation> decode(const protocol::ZoneEvacuation& message)
+{
+    if (!isValidName(message.zone()))
+        return std::nullopt;
+    return ZoneEvacuation { ZoneId(message.zone()), { StoreEra { message.era() }, LogOffset { message.offset() } }, message.ended() };
+}
+
 void encode(const PlacementCell& cell, const PlacementDemand& demand, protocol::PlacementDemand& message)
 {
     message.mutable_cell()->set_service(cell.service.value());
--- a/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ExchangeCodec.h
@@ -27,6 +27,9 @@
 void encode(const ServerChange&, StoreEra era, protocol::ServerNews&);
 std::optional<ServerChange> decode(const protocol::ServerNews&, StoreEra era);
 
+void encode(const ZoneEvacuation&, protocol::ZoneEvacuation&);
+std::optional<ZoneEvacuation> decode(const protocol::ZoneEvacuation&);
+
 void encode(const PlacementCell&, const PlacementDemand&, protocol::PlacementDemand&);
 PlacementCell decodeCell(const protocol::PlacementDemand&);
 PlacementDemand decode(const protocol::PlacementDemand&);
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.cpp
@@ -158,6 +158,8 @@
     update.set_servers_from_era(number(peer.serversEnd.era));
     for (const ServerChange& change : changes ? *changes : m_parts.registry.allServers(now))
         internal::encode(change, end.era, *update.add_servers());
+    for (const ZoneEvacuation& evacuation : m_parts.registry.evacuations().records())
+        internal::encode(evacuation, *update.add_evacuations());
 }
 
 template <typename Message>
@@ -201,10 +203,24 @@
     return m_parts.active.applyIfNewer(*text, sender);
 }
 
+bool FleetExchange::applyEvacuations(const protocol::FleetNews& update, const std::string& sender)
+{
+    bool changed = false;
+    for (const protocol::ZoneEvacuation& message : update.evacuations()) {
+        const auto evacuation = internal::decode(message);
+        if (evacuation)
+            changed = m_parts.registry.apply(*evacuation, sender, m_parts.clock.now()) || changed;
+        else
+            log(Event("evacuation-record-malformed").with("source", sender).with("reason", "zone"));
+    }
+    return changed;
+}
+
 void FleetExchange::applyUpdate(const protocol::FleetNews& update, const std::string& sender)
 {
     const MonotonicTime now = m_parts.clock.now();
-    bool changed = applyConfiguration(update, sender);
+    bool changed = applyEvacuations(update, sender);
+    changed = applyConfiguration(update, sender) || changed;
     const StorePosition end = peerState(update).serversEnd;
     m_parts.follower.recordEra(end.era, sender);
     std::vector<ServerChange> changes;
--- a/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetExchange.h
@@ -77,6 +77,7 @@
     void fillConfiguration(protocol::FleetNews&);
     bool applyConfiguration(const protocol::FleetNews&, const std::string& sender);
     void applyUpdate(const protocol::FleetNews&, const std::string& sender);
+    bool applyEvacuations(const protocol::FleetNews&, const std::string& sender);
     template <typename Message>
     void applyHosts(const Message&);
     template <typename Message>
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -46,7 +46,7 @@
         TrackedServer& tracked = m_servers[id];
         tracked.registration = entry.registration;
         tracked.warmupEndsAt = entry.warmupEndsAt;
-        if (entry.registration.draining)
+        if (!m_registry.acceptsRequests(entry.registration))
             continue;
         ++m_serviceSizes[entry.registration.service];
         ++m_zoneSizes[{ entry.registration.service, entry.registration.zone }];
@@ -59,7 +59,7 @@
     if (added) {
         for (auto& [id, tracked] : m_servers) {
             const RegisteredServer& server = tracked.registration;
-            if (server.service == cell.service && server.zone == cell.zone && !server.draining && cellIndex(id, cell.count) == cell.index)
+            if (server.service == cell.service && server.zone == cell.zone && m_registry.acceptsRequests(server) && cellIndex(id, cell.count) == cell.index)
                 position->second.push_back(&tracked);
         }
     }
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
@@ -64,7 +64,7 @@
     std::map<BackendServerId, TrackedServer> m_servers;
     /// The cells that were asked for since the last update.
     std::map<PlacementCell, std::vector<TrackedServer*>> m_cells;
-    /// Servers that are not draining.
+    /// Servers that are neither draining nor in an evacuated zone.
     std::map<ServiceId, std::size_t> m_serviceSizes;
     std::map<std::pair<ServiceId, ZoneId>, std::size_t> m_zoneSizes;
     RecentPlacements m_endedPlacements;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -99,7 +99,7 @@
         }
         state->registration = entry.registration;
         state->warmupEndsAt = entry.warmupEndsAt;
-        state->acceptsRequests = !entry.registration.draining && !state->leaving;
+        state->acceptsRequests = registry.acceptsRequests(entry.registration) && !state->leaving;
         if (state->acceptsRequests)
             m_services[entry.registration.service].push_back(state);
         if (state->leaving)
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -60,7 +60,8 @@
 struct BackendState {
     RegisteredServer registration;
     MonotonicTime warmupEndsAt {};
-    /// Whether new requests may be sent to it: it is registered, not draining and has not stated that it leaves.
+    /// Whether new requests may be sent to it: it is registered, neither draining nor in an evacuated zone, and has not
+    /// stated that it leaves.
     bool acceptsRequests = true;
     /// This incarnation stated that it is about to leave.
     bool leaving = false;
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -3,6 +3,7 @@
 #include "AsioEventLoop.h"
 #include "AsioHttpCalls.h"
 #include "CallerConnection.h"
+#include "EvacuationReport.h"
 
 #include <lacewingsail/Observe.h>
 #include <lacewingsail/Sockets.h>
@@ -98,6 +99,7 @@
     std::mt19937_64 random { std::random_device {}() };
     ActiveConfiguration active { parts.decodeConfiguration, clock };
     ServerRegistry registry;
+    internal::EvacuationReport evacuationReport { metrics };
     const DescriptorBudget descriptors = makeDescriptorBudget(internal::descriptorLimit());
     internal::BackendTable backends { clock, descriptors.backendConnections };
     internal::AsioHttpCalls storeCalls { loop.context(), settings.store };
@@ -370,6 +372,7 @@
 {
     backends.update(registry);
     placementCoordinator.update();
+    evacuationReport.update(registry);
     const bool serversKnown = follower.serversAsOf() != MonotonicTime {} || !registry.entries().empty();
     ready = started && active.current() && serversKnown && !connections.plannedStop;
 }
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -283,7 +283,8 @@
     {
         std::vector<ZoneCapacity> capacities = services.backends.zoneCapacities(request->service);
         std::uniform_real_distribution<double> uniform(0, 1);
-        auto zone = chooseZone(capacities, services.settings.zone, uniform(services.random));
+        const double random = uniform(services.random);
+        auto zone = hasServers(capacities, services.settings.zone) ? chooseZone(capacities, services.settings.zone, random) : chooseZoneByFreeCapacity(capacities, random);
         ServerChoice choice;
         bool answered = false;
         for (int asked = 0; zone && asked < maxZonesAsked; ++asked) {
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -17,6 +17,7 @@
 #include "src/Policy/ConfigurationFold.h"
 #include "src/Policy/CoordinatedPlacement.h"
 #include "src/Policy/DescriptorBudget.h"
+#include "src/Policy/DisplacedLoad.h"
 #include "src/Policy/Ejection.h"
 #include "src/Policy/Evidence.h"
 #include "src/Policy/ExchangeSchedule.h"
--- a/tests/FleetExchangeTest.cpp
+++ b/tests/FleetExchangeTest.cpp
@@ -293,3 +293,83 @@
     CHECK(host.registry.end() == StorePosition { StoreEra { 2 }, LogOffset { 40 } });
     CHECK(host.follower.serversAsOf() == clock.now());
 }
+
+namespace {
+
+// One exchange from the host to the other one.
+void exchangeOnce(ExchangingHost& host, ExchangingHost& other)
+{
+    const auto request = host.requestOfNextTick();
+    protocol::ExchangeReply reply;
+    other.exchange.handleRequest(request, reply);
+    host.answer(&reply);
+}
+
+ZoneEvacuation evacuationOf(std::uint64_t era, std::uint64_t offset, bool ended) { return { ZoneId("z"), { StoreEra { era }, LogOffset { offset } }, ended }; }
+
+bool evacuated(const ExchangingHost& host) { return host.registry.evacuations().isEvacuated(ZoneId("z")); }
+
+} // namespace
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "exchange, store refuses one host, learns evacuation, configuration and end from the other one")
+{
+    ExchangingHost refused(clock, "refused", otherHost);
+    ExchangingHost other(clock, "other");
+    // Allows configurations to be sent.
+    other.exchange.tick();
+    other.publish("1");
+    other.registry.apply(evacuationOf(1, 10, false), ActiveConfiguration::storeSource, clock.now());
+    exchangeOnce(refused, other);
+    // The reply to the first call tells what the caller lacks.
+    exchangeOnce(refused, other);
+    CHECK(evacuated(refused));
+    CHECK(refused.active.version() == ConfigurationVersion { 1 });
+    other.registry.apply(evacuationOf(1, 12, true), ActiveConfiguration::storeSource, clock.now());
+    exchangeOnce(refused, other);
+    CHECK_FALSE(evacuated(refused));
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "exchange, caller knows the evacuation, tells it with its first call")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    ExchangingHost other(clock, "other");
+    host.registry.apply(evacuationOf(1, 10, false), ActiveConfiguration::storeSource, clock.now());
+    exchangeOnce(host, other);
+    CHECK(evacuated(other));
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "exchange, host with an old state comes back, does not bring an ended evacuation back")
+{
+    ExchangingHost stale(clock, "stale", otherHost);
+    ExchangingHost other(clock, "other");
+    stale.registry.apply(evacuationOf(1, 10, false), ActiveConfiguration::storeSource, clock.now());
+    other.registry.apply(evacuationOf(1, 12, true), ActiveConfiguration::storeSource, clock.now());
+    exchangeOnce(stale, other);
+    CHECK_FALSE(evacuated(other));
+    CHECK_FALSE(evacuated(stale));
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "exchange, one host knows an evacuation only from a copy of the store, hears of its end")
+{
+    ExchangingHost host(clock, "host", otherHost);
+    ExchangingHost newcomer(clock, "newcomer");
+    host.registry.apply(evacuationOf(1, 10, false), ActiveConfiguration::storeSource, clock.now());
+    host.registry.apply(evacuationOf(1, 12, true), ActiveConfiguration::storeSource, clock.now());
+    newcomer.registry.apply(evacuationOf(2, 10, false), ActiveConfiguration::storeSource, clock.now());
+    exchangeOnce(host, newcomer);
+    exchangeOnce(host, newcomer);
+    CHECK_FALSE(evacuated(host));
+    CHECK_FALSE(evacuated(newcomer));
+}
+
+TEST_CASE_FIXTURE(FleetExchangeFixture, "handleRequest, evacuation of a zone without a usable name, is ignored")
+{
+    ExchangingHost host(clock, "host");
+    protocol::ExchangeRequest request;
+    for (const char* name : { "", "a b", "z" })
+        request.mutable_news()->add_evacuations()->set_zone(name);
+    protocol::ExchangeReply reply;
+    host.exchange.handleRequest(request, reply);
+    CHECK(host.registry.evacuations().records().size() == 1);
+    CHECK(evacuated(host));
+}
--- a/tests/PlacementCoordinatorTest.cpp
+++ b/tests/PlacementCoordinatorTest.cpp
@@ -92,6 +92,22 @@
     CHECK(decision->server == BackendServerId("near"));
 }
 
+TEST_CASE_FIXTURE(PlacementCoordinatorFixture, "place, zone is evacuated, chooses none of its servers until that is taken back")
+{
+    addServer("i-1", "a");
+    REQUIRE(place());
+    registry.apply(ZoneEvacuation { ZoneId("a"), { {}, LogOffset { 10 } }, false }, "store", clock.now());
+    coordinator.update();
+    CHECK_FALSE(coordinator.place(cell, demand));
+    cell.zone = ZoneId("b");
+    addServer("i-2", "b");
+    CHECK(coordinator.place(cell, demand));
+    cell.zone = ZoneId("a");
+    registry.apply(ZoneEvacuation { ZoneId("a"), { {}, LogOffset { 11 } }, true }, "store", clock.now());
+    coordinator.update();
+    CHECK(coordinator.place(cell, demand));
+}
+
 TEST_CASE_FIXTURE(PlacementCoordinatorFixture, "place, servers full, succeeds again when a request ends")
 {
     addServer("i-1", "a");
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -117,6 +117,41 @@
     CHECK(reading->records[0].value == "y");
 }
 
+TEST_CASE_FIXTURE(StoreClientFixture, "read, evacuations in the operators' topic, come with zone and validity")
+{
+    read(RecordStream::Configuration);
+    calls.respondToFirst(200, bigEndian(42, 8) + bigEndian(0, 8) + record("evacuate/z-a", "{}") + record("evacuate/z-a", "") + record("evacuate/z-b", "nonsense") + record("evacuate/", "{}"));
+    REQUIRE(reading->records.size() == 4);
+    for (const std::size_t index : { 0U, 1U }) {
+        REQUIRE(reading->records[index].evacuation);
+        CHECK(reading->records[index].evacuation->zone == ZoneId("z-a"));
+        CHECK_FALSE(reading->records[index].evacuation->malformed);
+    }
+    CHECK(reading->records[0].value);
+    CHECK_FALSE(reading->records[1].value);
+    CHECK(reading->records[1].offset == LogOffset { 41 });
+    CHECK(reading->records[2].evacuation->malformed);
+    CHECK(reading->records[3].evacuation->zone.value().empty());
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "read, key of an evacuation in another topic, is an ordinary key")
+{
+    read(RecordStream::Servers);
+    calls.respondToFirst(200, bigEndian(42, 8) + bigEndian(0, 8) + record("evacuate/z-a", "{}"));
+    REQUIRE(reading->records.size() == 1);
+    CHECK_FALSE(reading->records[0].evacuation);
+}
+
+TEST_CASE_FIXTURE(StoreClientFixture, "newest, evacuation that cannot be read, is not missing")
+{
+    store.readLatest(RecordStream::Configuration, [this](StoreReadResult result) { reading = std::move(result); });
+    calls.respondToFirst(200, R"({"items":[{"key":"evacuate/z-a","value":"e30=","offset":3},{"key":"evacuate/z-b","value":7,"offset":4}],"more":false,"end":8})");
+    REQUIRE(reading->records.size() == 2);
+    CHECK_FALSE(reading->records[0].evacuation->malformed);
+    CHECK(reading->records[1].evacuation->zone == ZoneId("z-b"));
+    CHECK(reading->records[1].evacuation->malformed);
+}
+
 TEST_CASE_FIXTURE(StoreClientFixture, "newest, several pages, returns the end of the first page")
 {
     store.readLatest(RecordStream::Servers, [this](StoreReadResult result) { reading = std::move(result); });
