Refusals that all servers of a service share are no evidence against one of them

Coordinators and hosts keep the share that a service refuses with room. A refusal is evidence by how much likelier it is at a failing server than at the service's others; a host doesn't leave a server alone for it. A part of the retry budget is kept for urgent requests while they are retried.

--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -6,6 +6,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <cmath>
 #include <condition_variable>
 #include <mutex>
 #include <set>
@@ -131,6 +132,7 @@
             reply.set_room_after_ms(static_cast<std::uint32_t>(decision->retryAfter.count()));
             reply.set_allowance_used(decision->retryBudgetExhausted);
             reply.set_waits(decision->shouldWait);
+            reply.set_refused_share(static_cast<std::uint32_t>(std::lround(decision->refusedShare * hundredths)));
             reply.set_loss(static_cast<std::uint32_t>(decision->expectedLoss * hundredths));
         }
 
@@ -252,7 +254,7 @@
     {
         if (reply.unknown())
             return std::nullopt;
-        PlacementDecision decision { std::nullopt, reply.number(), reply.loss() / hundredths, std::chrono::milliseconds(reply.room_after_ms()), reply.allowance_used(), reply.waits() };
+        PlacementDecision decision { std::nullopt, reply.number(), reply.loss() / hundredths, std::chrono::milliseconds(reply.room_after_ms()), reply.allowance_used(), reply.waits(), reply.refused_share() / hundredths };
         if (!reply.server().empty())
             decision.server = BackendServerId(reply.server());
         return decision;
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -101,8 +101,8 @@
         if (!decision)
             return callback(std::nullopt);
         if (!decision->server)
-            return callback(PlacementResponse { std::nullopt, 0, decision->retryAfter, decision->retryBudgetExhausted, decision->shouldWait });
-        callback(PlacementResponse { PlacementReservation { coordinator, *decision->server, decision->placementId }, decision->expectedLoss, {}, false, false });
+            return callback(PlacementResponse { std::nullopt, 0, decision->retryAfter, decision->retryBudgetExhausted, decision->shouldWait, decision->refusedShare });
+        callback(PlacementResponse { PlacementReservation { coordinator, *decision->server, decision->placementId }, decision->expectedLoss, {}, false, false, decision->refusedShare });
     };
     PlacementDemand numbered = demand;
     numbered.placementId = m_nextPlacementId++;
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
@@ -29,6 +29,8 @@
     bool retryBudgetExhausted = false;
     /// The request has time to wait for a free slot, and should ask again after \ref retryAfter.
     bool shouldWait = false;
+    /// As \ref PlacementDecision::refusedShare.
+    double refusedShare = 0;
 };
 
 /// \brief Asks coordinators for servers, and reports to them how the requests ended.
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -126,7 +126,7 @@
     const std::uint64_t placementId = demand.placementId != 0 ? demand.placementId : m_nextPlacementId++;
     // The caller has cancelled it meanwhile.
     if (wasRecorded(m_endedPlacements, placementId))
-        return PlacementDecision { std::nullopt, placementId, 0, internal::minRetryAfter, false, false };
+        return PlacementDecision { std::nullopt, placementId, 0, internal::minRetryAfter, false, false, 0 };
     const RetryBudgetParameters parameters = retryBudgetParameters(cell.service, servers.size());
     CellRetryBudget& retryBudget = m_retryBudgets[cell];
     PlacementDemand budgetedDemand = demand;
@@ -137,15 +137,40 @@
     const auto chosen = chooseServer(servers, budgetedDemand, processingTimes, now, random);
     if (!chosen) {
         logRejection(cell, servers, demand);
-        return PlacementDecision { std::nullopt, 0, 0, retryAfter(servers, demand), false, false };
+        return PlacementDecision { std::nullopt, 0, 0, retryAfter(servers, demand), false, false, alikeRefusedShare(cell.service) };
     }
     if (shouldWaitForSlot(demand, processingTimes, chosen->loadPerSlot))
-        return PlacementDecision { std::nullopt, 0, 0, internal::waitInterval, false, true };
-    if (demand.isRetry && !tryWithdraw(retryBudget, parameters, now))
-        return PlacementDecision { std::nullopt, 0, 0, {}, true, false };
+        return PlacementDecision { std::nullopt, 0, 0, internal::waitInterval, false, true, 0 };
+    if (demand.isRetry && !tryWithdraw(retryBudget, parameters, demand.priority, now))
+        return PlacementDecision { std::nullopt, 0, 0, {}, true, false, alikeRefusedShare(cell.service) };
     TrackedServer& server = *servers[chosen->serverIndex];
     lacewingsail::addPlacement(server, budgetedDemand, placementId, now);
-    return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
+    return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false, alikeRefusedShare(cell.service) };
+}
+
+double PlacementCoordinator::alikeRefusedShare(const ServiceId& service) const
+{
+    const auto found = m_refusals.find(service);
+    return found != m_refusals.end() && refusesAlike(found->second, m_clock.now()) ? refusedShare(found->second, m_clock.now()) : 0;
+}
+
+void PlacementCoordinator::recordRefusals(TrackedServer& server, const PlacementOutcome& outcome)
+{
+    const MonotonicTime now = m_clock.now();
+    const bool refused = outcome.status == PlacementStatus::Refused;
+    const bool reached = refused || outcome.status == PlacementStatus::Succeeded || outcome.status == PlacementStatus::Failed;
+    if (!reached || outcome.serverLeaving || (refused && !hasFreeSlot(server, now)))
+        return;
+    ServiceRefusals& refusals = m_refusals[server.registration.service];
+    const bool before = refusals.alike;
+    recordRefusal(refusals, server.refusals, refused, now);
+    if (refusals.alike == before)
+        return;
+    log(Event(before ? "service-refusals-ended" : "service-refuses-alike").with("service", server.registration.service).with("refused_percent", static_cast<long long>(refusedShare(refusals, now) * 100)));
+    for (auto& [id, tracked] : m_servers) {
+        if (refusals.alike && tracked.registration.service == server.registration.service)
+            forgetRefusals(tracked.failureEstimate, now);
+    }
 }
 
 void PlacementCoordinator::cancelPlacement(std::uint64_t placementId)
@@ -158,7 +183,9 @@
 {
     const MonotonicTime now = m_clock.now();
     const bool wasSuspected = grayFailureProbability(server.failureEstimate, now) >= internal::loggedProbability;
-    const auto placement = lacewingsail::finishPlacement(server, m_processingTimes[server.registration.service], outcome, now);
+    const double commonRefusedShare = refusedShareOfOthers(m_refusals[server.registration.service], server.refusals, now);
+    const auto placement = lacewingsail::finishPlacement(server, m_processingTimes[server.registration.service], outcome, now, commonRefusedShare);
+    recordRefusals(server, outcome);
     // A cancelled placement does not count as a request and adds nothing to the retry budget.
     if (placement && !placement->isRetry && outcome.status != PlacementStatus::Cancelled)
         depositRetries(server.registration);
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
@@ -26,6 +26,8 @@
     bool retryBudgetExhausted = false;
     /// The request has time to wait for a free slot, and should ask again after \ref retryAfter.
     bool shouldWait = false;
+    /// Share of requests that the service's servers refuse although they have free slots; zero unless they refuse alike.
+    double refusedShare = 0;
 };
 
 /// \brief Places the requests of the cells for which this host is the coordinator.
@@ -54,6 +56,8 @@
     RetryBudgetParameters retryBudgetParameters(const ServiceId&, std::size_t cellServers) const;
     std::chrono::milliseconds retryAfter(std::span<TrackedServer* const>, const PlacementDemand&) const;
     void recordOutcome(TrackedServer&, const PlacementOutcome&);
+    void recordRefusals(TrackedServer&, const PlacementOutcome&);
+    double alikeRefusedShare(const ServiceId&) const;
     void cancelPlacement(std::uint64_t placementId);
     void logRejection(const PlacementCell&, std::span<TrackedServer* const>, const PlacementDemand&);
 
@@ -70,6 +74,7 @@
     RecentPlacements m_endedPlacements;
     std::map<PlacementCell, MonotonicTime> m_rejectionLoggedAt;
     std::map<ServiceId, ProcessingTimes> m_processingTimes;
+    std::map<ServiceId, ServiceRefusals> m_refusals;
     std::map<PlacementCell, CellRetryBudget> m_retryBudgets;
 };
 
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -296,12 +296,31 @@
             server.localStats.answered += 1;
             server.localStats.totalAnswerMs += duration.count();
             lacewingsail::recordOutcome(server.failureEstimate, false, services.clock.now());
+            recordRefusal(services.backends.refusals(server.registration.service), server.refusals, false, services.clock.now());
         } else if (attemptStatus != AttemptStatus::NotRun) {
             server.localStats.failed += 1;
             lacewingsail::recordOutcome(server.failureEstimate, true, services.clock.now());
         }
     }
 
+    // A refusal by a server with free slots says little of it while all servers of its service refuse alike.
+    void recordServerRefusal(RequestServices& services, BackendState& server, MonotonicTime now)
+    {
+        const bool hasRoom = !server.leaving && server.totalStats().inFlight - 1 < server.registration.slots.value;
+        ServiceRefusals& refusals = services.backends.refusals(server.registration.service);
+        if (hasRoom) {
+            recordRefusalWithRoom(server.failureEstimate, refusedShareOfOthers(refusals, server.refusals, now), now);
+            const bool before = refusals.alike;
+            recordRefusal(refusals, server.refusals, true, now);
+            if (refusals.alike && !before) {
+                for (const BackendStatePtr& other : services.backends.serversForService(server.registration.service))
+                    forgetRefusals(other->failureEstimate, now);
+            }
+        }
+        if (!hasRoom || !refusesAlike(refusals, now))
+            server.overloadedUntil = now + overloadBackOff;
+    }
+
     /// \returns the number of requests that the server reports, including the one that it has just answered.
     std::optional<double> reportedLoad(const HeaderNames& names, const ResponseMessage& response)
     {
@@ -344,7 +363,10 @@
         }
         if (statesNotRun(names, response)) {
             const bool misdirected = response.result_int() == misdirectedStatus;
-            server.overloadedUntil = now + (misdirected ? Duration(misdirectedBackOff) : Duration(overloadBackOff));
+            if (misdirected)
+                server.overloadedUntil = now + misdirectedBackOff;
+            else
+                recordServerRefusal(services, server, now);
             recordAttemptOutcome(services, server, AttemptStatus::NotRun, response.result_int(), startedAt);
             log(Event("server-refused").with("request", request.id).with("server", server.registration.id).with("status", static_cast<long long>(response.result_int())));
             report.outcome.status = misdirected ? PlacementStatus::Failed : PlacementStatus::Refused;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -78,6 +78,7 @@
     MonotonicTime overloadedUntil {};
     /// Estimate from the outcomes of this host's requests.
     GrayFailureEstimate failureEstimate;
+    RefusalCounts refusals;
     std::deque<BackendConnectionPtr> idleConnections;
 
     /// \returns the statistics over all hosts.
@@ -120,6 +121,9 @@
     /// there is none.
     Duration timeToAcceptance(const ServiceId&) const;
 
+    /// \returns what the servers of a service refused requests of this host.
+    ServiceRefusals& refusals(const ServiceId& service) { return m_refusals[service]; }
+
     /// \brief Records that a server stated that it is about to leave: it gets no new requests.
     void recordLeaving(BackendState&);
 
@@ -144,6 +148,7 @@
     std::map<BackendServerId, BackendStatePtr> m_servers;
     std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
     std::map<ServiceId, std::vector<BackendServerId>> m_leaving;
+    std::map<ServiceId, ServiceRefusals> m_refusals;
 };
 
 /// \brief Removes and returns an idle connection that is still open, has no unread data and was used less than
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -43,9 +43,9 @@
     constexpr double maxLoadPerSlotOther = 1.5;
     constexpr Priority urgentPriority { 1 };
 
-    std::chrono::milliseconds jitteredDelay(RequestServices& services, std::chrono::milliseconds minDelay)
+    std::chrono::milliseconds jitteredDelay(RequestServices& services, std::chrono::milliseconds minDelay, std::chrono::milliseconds jitter = retryJitter)
     {
-        std::uniform_int_distribution<std::int64_t> spread(0, retryJitter.count());
+        std::uniform_int_distribution<std::int64_t> spread(0, jitter.count());
         return minDelay + std::chrono::milliseconds(spread(services.random));
     }
 
@@ -195,6 +195,8 @@
         bool shouldWait = false;
         /// A coordinator has chosen a server that this host does not know, or knows to have left.
         bool offeredUnknownServer = false;
+        /// Share of requests that the service's servers refuse alike although they have free slots.
+        double refusedShare = 0;
     };
 
     PlacementDemand makePlacementDemand(const RequestServices& services, const RequestState& request)
@@ -257,10 +259,11 @@
         choice.retryAfter = std::max(choice.retryAfter, reply.retryAfter);
         choice.retryBudgetExhausted = choice.retryBudgetExhausted || reply.retryBudgetExhausted;
         choice.shouldWait = choice.shouldWait || reply.shouldWait;
+        choice.refusedShare = std::max(choice.refusedShare, reply.refusedShare);
         if (!reply.reservation)
             return;
         choice.offeredUnknownServer = choice.offeredUnknownServer || !services.backends.find(reply.reservation->server);
-        ServerChoice offer { services.backends.find(reply.reservation->server), reply.reservation, reply.expectedLoss, choice.retryAfter, false, false, choice.offeredUnknownServer };
+        ServerChoice offer { services.backends.find(reply.reservation->server), reply.reservation, reply.expectedLoss, choice.retryAfter, false, false, choice.offeredUnknownServer, choice.refusedShare };
         if (!offer.server || (choice.server && choice.expectedLoss <= offer.expectedLoss))
             return cancelReservation(services, offer);
         cancelReservation(services, choice);
@@ -362,7 +365,7 @@
 
     // A request that a server may have run must not be reported as not run: if no server sent a valid response, the
     // first attempt that may have run decides the result.
-    RequestResult finalResult(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode lastCode, std::chrono::milliseconds retryAfter)
+    RequestResult finalResult(RequestServices& services, const RequestState& request, std::optional<AttemptReport> best, ResultCode lastCode, std::chrono::milliseconds retryAfter, bool refusedAlike)
     {
         if (best && best->status == AttemptStatus::Answered)
             return { ResultCode::Ok, std::move(best->response) };
@@ -372,6 +375,10 @@
             lastCode = ResultCode::NoBackendServer;
         // A server that had capacity but refused the request may accept it a moment later.
         const bool refused = lastCode == ResultCode::Overloaded && !request.attemptedServers.empty();
+        if (refused && (refusedAlike || refusesAlike(services.backends.refusals(request.service), services.clock.now()))) {
+            const RefusedRetryDelay retry = retryDelayAfterAlikeRefusal(request.route->targetLatency);
+            return failRequest(services, request, lastCode, jitteredDelay(services, retry.delay, retry.jitter));
+        }
         return failRequest(services, request, lastCode, refused ? jitteredDelay(services, refusedRetryDelay) : jitteredDelay(services, std::max(retryAfter, minRetryDelay)));
     }
 
@@ -386,12 +393,14 @@
         std::optional<AttemptReport> best;
         ResultCode lastCode = services.backends.serversForService(request->service).empty() ? ResultCode::NoBackendServer : ResultCode::Overloaded;
         std::chrono::milliseconds retryAfter { 0 };
+        bool refusedAlike = false;
         const auto replacement = std::make_shared<ServerChoice>();
         for (int tries = 0; tries < maxServerTries; ++tries) {
             ServerChoice choice = std::exchange(*replacement, {});
             if (!choice.server)
                 choice = co_await chooseWithCoordinator(services, request);
             retryAfter = choice.retryAfter;
+            refusedAlike = choice.refusedShare > 0;
             if (!choice.server && choice.shouldWait && !request->cancelled) {
                 --tries;
                 co_await sleepFor(services, choice.retryAfter);
@@ -427,7 +436,7 @@
             }
         }
         cancelReservation(services, *replacement);
-        co_return finalResult(services, *request, std::move(best), lastCode, retryAfter);
+        co_return finalResult(services, *request, std::move(best), lastCode, retryAfter, refusedAlike);
     }
 
 } // namespace
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -40,6 +40,7 @@
 #include "src/Policy/RouteTable.h"
 #include "src/Policy/ServerRefusal.h"
 #include "src/Policy/ServerStats.h"
+#include "src/Policy/ServiceRefusals.h"
 #include "src/Policy/Slice.h"
 #include "src/Policy/SliceBucket.h"
 #include "src/Policy/SlotFold.h"
--- a/packages/policy/lacewingsail/src/Policy/CellRetryBudget.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CellRetryBudget.cpp
@@ -14,11 +14,15 @@
     constexpr double incomeShare = 0.2;
     // Retries kept for requests that have failed, while others would only probe a suspected server.
     constexpr double minReserve = 2.0;
+    // Requests of this priority or a more urgent one have a part of the budget to themselves, as long as one was retried recently.
+    constexpr Priority urgentPriority { 1 };
+    constexpr double urgentShare = 0.4;
+    constexpr std::chrono::seconds urgentPeriod { 2 };
 
     void refill(CellRetryBudget& budget, const RetryBudgetParameters& parameters, MonotonicTime now)
     {
         if (!budget.initialized) {
-            budget = { 0, true, now };
+            budget = { 0, true, now, {} };
             return;
         }
         const std::chrono::duration<double> elapsed = now - budget.refilledAt;
@@ -48,10 +52,14 @@
     budget.available = std::min(parameters.maxAvailable, budget.available + parameters.ratio);
 }
 
-bool tryWithdraw(CellRetryBudget& budget, const RetryBudgetParameters& parameters, MonotonicTime now)
+bool tryWithdraw(CellRetryBudget& budget, const RetryBudgetParameters& parameters, Priority priority, MonotonicTime now)
 {
     internal::refill(budget, parameters, now);
-    if (budget.available < 1)
+    const bool urgent = priority <= internal::urgentPriority;
+    if (urgent)
+        budget.keptUntil = now + internal::urgentPeriod;
+    const double kept = !urgent && now < budget.keptUntil ? std::min(internal::urgentShare * parameters.maxAvailable, parameters.maxAvailable - 1) : 0;
+    if (budget.available < 1 + kept)
         return false;
     budget.available -= 1;
     return true;
--- a/packages/policy/lacewingsail/src/Policy/CellRetryBudget.h
+++ b/packages/policy/lacewingsail/src/Policy/CellRetryBudget.h
@@ -11,6 +11,8 @@
     double available = 0;
     bool initialized = false;
     MonotonicTime refilledAt {};
+    /// Until then a part is kept for urgent requests.
+    MonotonicTime keptUntil {};
 };
 
 /// \brief Refill rates and upper limit of a retry budget.
@@ -32,7 +34,9 @@
 /// \returns whether at least the reserve for failed requests is available, so that a request may be sent to a suspected server.
 bool hasReserve(CellRetryBudget&, const RetryBudgetParameters&, MonotonicTime now);
 
-/// \brief Takes one retry. \returns false, and takes nothing, if none is available.
-bool tryWithdraw(CellRetryBudget&, const RetryBudgetParameters&, MonotonicTime now);
+/// \brief Takes one retry. \returns false, and takes nothing, if none is available for a request of this priority.
+///
+/// While urgent requests of the cell are retried, a part of the budget is kept for them, as less urgent ones would use it up.
+bool tryWithdraw(CellRetryBudget&, const RetryBudgetParameters&, Priority, MonotonicTime now);
 
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -180,6 +180,8 @@
     return std::max(0.0, static_cast<double>(server.inFlightPlacements.size()) + untrackedLoad);
 }
 
+bool hasFreeSlot(const TrackedServer& server, MonotonicTime now) { return estimatedLoad(server, now) < server.registration.slots.value; }
+
 std::optional<PlacementChoice> chooseServer(std::span<TrackedServer* const> servers, const PlacementDemand& demand, const ProcessingTimes& processingTimes, MonotonicTime now, double random)
 {
     const bool avoidSuspected = internal::canAvoidSuspected(servers, now);
@@ -228,7 +230,7 @@
     server.inFlightPlacements.push_back({ placementId, now, now + demand.timeToDeadline + internal::expiryMargin, internal::congestionFactor(server, estimatedLoad(server, now)), demand.latencyObjective, demand.isRetry });
 }
 
-std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes& processingTimes, const PlacementOutcome& outcome, MonotonicTime now)
+std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes& processingTimes, const PlacementOutcome& outcome, MonotonicTime now, double commonRefusedShare)
 {
     const auto found = std::ranges::find(server.inFlightPlacements, outcome.placementId, &InFlightPlacement::id);
     const auto placed = found != server.inFlightPlacements.end() ? std::optional(*found) : std::nullopt;
@@ -251,9 +253,9 @@
         break;
     case PlacementStatus::Refused:
         server.hasAnswered = true;
-        // A refusal with free slots is a failure rather than overload.
-        if (estimatedLoad(server, now) < server.registration.slots.value)
-            recordUnreachable(server.failureEstimate, now);
+        // A refusal with free slots is a failure rather than overload, unless all servers refuse alike.
+        if (hasFreeSlot(server, now))
+            recordRefusalWithRoom(server.failureEstimate, commonRefusedShare, now);
         else
             server.overloadedUntil = now + internal::overloadBackOff;
         break;
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "GrayFailureEstimate.h"
+#include "ServiceRefusals.h"
 
 #include <lacewingsail/World.h>
 
@@ -40,6 +41,7 @@
     /// As in the last outcome that had it.
     double reportedLoad = 0;
     GrayFailureEstimate failureEstimate;
+    RefusalCounts refusals;
     /// Ratio of its time to answer to the usual one, smoothed.
     double latencyRatio = 1;
     MonotonicTime latencyRatioUpdatedAt {};
@@ -146,6 +148,9 @@
 /// \returns the estimated number of requests at the server.
 double estimatedLoad(const TrackedServer&, MonotonicTime now);
 
+/// \returns whether the server is believed to have a free slot.
+bool hasFreeSlot(const TrackedServer&, MonotonicTime now);
+
 /// \brief Chooses the server with the lowest expected loss, computed from the probability of a failure and from the expected
 /// time to answer relative to the latency objective.
 ///
@@ -171,6 +176,7 @@
 
 /// \brief Removes a placement from \p server and records its outcome. \returns the placement, or nothing if it is unknown or has
 /// expired; its duration is not recorded then, but its status and the reported load are.
-std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes&, const PlacementOutcome&, MonotonicTime now);
+/// \param commonRefusedShare what the service's other servers refuse although they have free slots.
+std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes&, const PlacementOutcome&, MonotonicTime now, double commonRefusedShare = 0);
 
 } // namespace lacewingsail
--- a/packages/policy/lacewingsail/src/Policy/GrayFailureEstimate.h
+++ b/packages/policy/lacewingsail/src/Policy/GrayFailureEstimate.h
@@ -15,6 +15,8 @@
     MonotonicTime updatedAt {};
     /// Whether any outcome has been recorded; until then the prior odds apply.
     bool initialized = false;
+    /// What refusals with free slots add to \ref logOdds, once it is considerable.
+    double refusalLogOdds = 0;
 };
 
 /// \brief Updates the estimate by a failed or succeeded request.
@@ -23,6 +25,14 @@
 /// \brief Updates the estimate by a failed connection from any host: the server may be down, or only the path from that host.
 void recordUnreachable(GrayFailureEstimate&, MonotonicTime now);
 
+/// \brief Updates the estimate by a refusal although the server has free slots.
+/// \param commonShare share of requests that the service's other servers refuse with free slots; the refusal counts by how much
+/// likelier it is at a failing server.
+void recordRefusalWithRoom(GrayFailureEstimate&, double commonShare, MonotonicTime now);
+
+/// \brief Takes back what refusals have added: the server's service turned out to refuse alike.
+void forgetRefusals(GrayFailureEstimate&, MonotonicTime now);
+
 /// \returns the probability that the server is in a gray failure.
 double grayFailureProbability(const GrayFailureEstimate&, MonotonicTime now);
 
--- a/tests/CellRetryBudgetTest.cpp
+++ b/tests/CellRetryBudgetTest.cpp
@@ -22,7 +22,7 @@
     double requests = 0;
     double retries = 0;
     const auto useAll = [&](CellRetryBudget& budget) {
-        while (tryWithdraw(budget, parameters, clock.now()))
+        while (tryWithdraw(budget, parameters, Priority {}, clock.now()))
             retries += 1;
     };
     // Retries saved before the window also count in it.
@@ -48,19 +48,44 @@
 TEST_CASE_FIXTURE(CellRetryBudgetFixture, "tryWithdraw, new coordinator, has nothing saved")
 {
     CellRetryBudget budget;
-    CHECK_FALSE(tryWithdraw(budget, cellRetryBudgetParameters(bounds, 1), clock.now()));
+    CHECK_FALSE(tryWithdraw(budget, cellRetryBudgetParameters(bounds, 1), Priority {}, clock.now()));
 }
 
 TEST_CASE_FIXTURE(CellRetryBudgetFixture, "tryWithdraw, nothing deposited and nothing saved, returns false")
 {
     const RetryBudgetParameters parameters { 0.1, 0, 1 };
     CellRetryBudget budget;
-    CHECK_FALSE(tryWithdraw(budget, parameters, clock.now()));
+    CHECK_FALSE(tryWithdraw(budget, parameters, Priority {}, clock.now()));
     for (int request = 0; request < 11; ++request)
         deposit(budget, parameters, clock.now());
-    CHECK(tryWithdraw(budget, parameters, clock.now()));
-    CHECK_FALSE(tryWithdraw(budget, parameters, clock.now()));
+    CHECK(tryWithdraw(budget, parameters, Priority {}, clock.now()));
+    CHECK_FALSE(tryWithdraw(budget, parameters, Priority {}, clock.now()));
     for (int request = 0; request < 11; ++request)
         deposit(budget, parameters, clock.now());
-    CHECK(tryWithdraw(budget, parameters, clock.now()));
+    CHECK(tryWithdraw(budget, parameters, Priority {}, clock.now()));
+}
+
+TEST_CASE_FIXTURE(CellRetryBudgetFixture, "tryWithdraw, urgent requests are retried, less urgent ones leave them a part")
+{
+    const RetryBudgetParameters parameters { 1, 0, 10 };
+    const auto withdraw = [&](CellRetryBudget& budget, Priority priority) {
+        int taken = 0;
+        while (tryWithdraw(budget, parameters, priority, clock.now()))
+            ++taken;
+        return taken;
+    };
+    CellRetryBudget budget;
+    const auto fill = [&] {
+        for (int request = 0; request < 20; ++request)
+            deposit(budget, parameters, clock.now());
+    };
+    fill();
+    CHECK(withdraw(budget, Priority { 2 }) == 10);
+    fill();
+    CHECK(tryWithdraw(budget, parameters, Priority { 1 }, clock.now()));
+    CHECK(withdraw(budget, Priority { 2 }) == 5);
+    CHECK(withdraw(budget, Priority { 0 }) == 4);
+    clock.advance(10s);
+    fill();
+    CHECK(withdraw(budget, Priority { 2 }) == 10);
 }
