Usual work is kept for each route, with its deviation

Routes that share a latency objective were taken for one kind of work, so that 230 and 460 ms were both expected to take their average.

ProcessingTimes keeps mean and mean absolute deviation by route, at most 512 for each service, and forgets kinds without outcomes; a route that wasn't seen yet starts from the other routes of its objective. PlacementFeedbackTest checks what it did, through the new fields.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -99,6 +99,7 @@
         const PlacementCell cell { ServiceId("service-0"), ZoneId("zone-0"), 0, cellCount(static_cast<std::size_t>(servers / services / placementZones)) };
         PlacementDemand demand;
         demand.service = cell.service;
+        demand.route = RouteId("route");
         demand.latencyObjective = std::chrono::milliseconds(1200);
         demand.timeToDeadline = std::chrono::milliseconds(4000);
         for ([[maybe_unused]] auto step : state) {
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -131,7 +131,8 @@
     CellRetryBudget& retryBudget = m_retryBudgets[cell];
     PlacementDemand budgetedDemand = demand;
     budgetedDemand.canRetry = demand.canRetry && hasReserve(retryBudget, parameters, now);
-    const ProcessingTimes& processingTimes = m_processingTimes[cell.service];
+    ProcessingTimes& processingTimes = m_processingTimes[cell.service];
+    forgetUnusedKinds(processingTimes, now);
     // Hashes of successive ids are spread well enough to break ties.
     const double random = static_cast<double>(stableHash(std::to_string(placementId)) >> 11) * 0x1.0p-53;
     const auto chosen = chooseServer(servers, budgetedDemand, processingTimes, now, random);
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -33,6 +33,7 @@
 #include "src/Policy/OutlierDetection.h"
 #include "src/Policy/PlacementCell.h"
 #include "src/Policy/PlannedStop.h"
+#include "src/Policy/ProcessingTimes.h"
 #include "src/Policy/Recovery.h"
 #include "src/Policy/RegistrationCheck.h"
 #include "src/Policy/Relays.h"
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -10,12 +10,6 @@
 
     using Seconds = std::chrono::duration<double>;
 
-    // Used for a kind of request that has not been answered yet: operators set latency objectives of about three times the
-    // processing time.
-    constexpr double defaultObjectiveShare = 0.3;
-    // Used for routes without a latency objective.
-    constexpr Seconds defaultProcessingTime { 0.35 };
-    constexpr Seconds minProcessingTime { 0.001 };
     // Requests last about this long, so that an older reported load says little about the current one.
     constexpr Seconds untrackedLoadHalfLife { 1.0 };
     constexpr double untrackedLoadWeight = 0.4;
@@ -23,9 +17,6 @@
     constexpr Seconds latencyRatioHalfLife { 4.0 };
     constexpr double latencyRatioWeight = 0.25;
     constexpr double maxLatencyRatio = 20;
-    constexpr double processingTimeWeight = 0.05;
-    // Longer samples count as this many times the average, so that one slow server does not change it.
-    constexpr double maxSampleRatio = 3;
     // A server that has just started is slower than others by about this factor; used until it has answered a request.
     constexpr double warmupLatencyRatio = 1.6;
     // Servers slow down by up to about this share as their slots fill up (platform documentation: "some slow down when nearly
@@ -66,15 +57,6 @@
 
     double decayFactor(Seconds elapsed, Seconds halfLife) { return std::exp2(-elapsed / halfLife); }
 
-    Seconds processingTime(const ProcessingTimes& processingTimes, std::chrono::milliseconds objective)
-    {
-        const auto found = processingTimes.find(objective);
-        const Seconds bound(objective);
-        if (found != processingTimes.end())
-            return objective.count() > 0 ? std::min(found->second, bound) : found->second;
-        return objective.count() > 0 ? bound * defaultObjectiveShare : defaultProcessingTime;
-    }
-
     double currentLatencyRatio(const TrackedServer& server, const ProcessingTimes& processingTimes, MonotonicTime now)
     {
         const double decayed = 1 + (server.latencyRatio - 1) * decayFactor(now - server.latencyRatioUpdatedAt, latencyRatioHalfLife);
@@ -82,7 +64,7 @@
         // In-flight requests that are overdue show a slowdown before they end.
         double sum = 0;
         for (const InFlightPlacement& placement : server.inFlightPlacements)
-            sum += std::clamp((now - placement.placedAt) / (processingTime(processingTimes, placement.latencyObjective) * placement.congestionFactor), 1.0, maxLatencyRatio);
+            sum += std::clamp((now - placement.placedAt) / (usualProcessingTime(processingTimes, placement.kind, placement.latencyObjective) * placement.congestionFactor), 1.0, maxLatencyRatio);
         return server.inFlightPlacements.empty() ? known : std::max(known, sum / static_cast<double>(server.inFlightPlacements.size()));
     }
 
@@ -135,15 +117,13 @@
 
     void recordDuration(TrackedServer& server, ProcessingTimes& processingTimes, const InFlightPlacement& placed, Seconds duration, MonotonicTime now)
     {
-        const Seconds usual = processingTime(processingTimes, placed.latencyObjective);
+        const Seconds usual = usualProcessingTime(processingTimes, placed.kind, placed.latencyObjective);
         const Seconds sample = duration / placed.congestionFactor;
         const double ratio = std::clamp(sample / usual, 0.1, maxLatencyRatio);
         const double before = 1 + (server.latencyRatio - 1) * decayFactor(now - server.latencyRatioUpdatedAt, latencyRatioHalfLife);
         server.latencyRatio = before + (ratio - before) * latencyRatioWeight;
         server.latencyRatioUpdatedAt = now;
-        // An average of observations: a correction by the ratio to what was forecast at the placement would be an integrator with
-        // the delay of the request, which is unstable at many outcomes per second.
-        processingTimes[placed.latencyObjective] = std::max(usual + (std::min(sample, usual * maxSampleRatio) - usual) * processingTimeWeight, minProcessingTime);
+        recordProcessingTime(processingTimes, placed.kind, placed.latencyObjective, sample, now);
     }
 
 } // namespace internal
@@ -162,7 +142,7 @@
 CellBelief cellBelief(std::span<TrackedServer* const> servers, const PlacementDemand& demand, const ProcessingTimes& processingTimes, MonotonicTime now)
 {
     CellBelief belief;
-    belief.processingTime = std::chrono::duration_cast<std::chrono::milliseconds>(internal::processingTime(processingTimes, demand.latencyObjective));
+    belief.processingTime = std::chrono::duration_cast<std::chrono::milliseconds>(expectedProcessingTime(processingTimes, demand));
     for (const TrackedServer* server : servers) {
         belief.slots += server->registration.slots.value;
         belief.inFlight += server->inFlightPlacements.size();
@@ -187,7 +167,7 @@
     const bool avoidSuspected = internal::canAvoidSuspected(servers, now);
     std::optional<PlacementChoice> best;
     double lowestVariedLoss = 0;
-    const internal::Seconds usualTime = internal::processingTime(processingTimes, demand.latencyObjective);
+    const internal::Seconds usualTime = expectedProcessingTime(processingTimes, demand);
     for (std::size_t index = 0; index < servers.size(); ++index) {
         TrackedServer& server = *servers[index];
         internal::dropExpired(server, now);
@@ -218,16 +198,18 @@
     return best;
 }
 
+std::chrono::duration<double> expectedProcessingTime(const ProcessingTimes& processingTimes, const PlacementDemand& demand) { return usualProcessingTime(processingTimes, workKind(demand.route), demand.latencyObjective); }
+
 bool shouldWaitForSlot(const PlacementDemand& demand, const ProcessingTimes& processingTimes, double loadPerSlot)
 {
-    const internal::Seconds slack = demand.latencyObjective - demand.age - internal::processingTimeMargin * internal::processingTime(processingTimes, demand.latencyObjective);
+    const internal::Seconds slack = demand.latencyObjective - demand.age - internal::processingTimeMargin * expectedProcessingTime(processingTimes, demand);
     return loadPerSlot > internal::maxDeferrableLoadPerSlot && slack > internal::minDeferrableSlack;
 }
 
 void addPlacement(TrackedServer& server, const PlacementDemand& demand, std::uint64_t placementId, MonotonicTime now)
 {
     server.lastPlacedAt = now;
-    server.inFlightPlacements.push_back({ placementId, now, now + demand.timeToDeadline + internal::expiryMargin, internal::congestionFactor(server, estimatedLoad(server, now)), demand.latencyObjective, demand.isRetry });
+    server.inFlightPlacements.push_back({ placementId, now, now + demand.timeToDeadline + internal::expiryMargin, internal::congestionFactor(server, estimatedLoad(server, now)), workKind(demand.route), demand.latencyObjective, demand.isRetry });
 }
 
 std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes& processingTimes, const PlacementOutcome& outcome, MonotonicTime now, double commonRefusedShare)
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "GrayFailureEstimate.h"
+#include "ProcessingTimes.h"
 #include "ServiceRefusals.h"
 
 #include <lacewingsail/World.h>
@@ -23,7 +24,7 @@
     MonotonicTime expiresAt {};
     /// Expected ratio of its time to answer to the processing time, from the server's load at the time of the placement.
     double congestionFactor = 1;
-    /// Latency objective of its route; identifies the kind of work.
+    WorkKind kind;
     std::chrono::milliseconds latencyObjective { 0 };
     /// Whether the request had been sent to another server before.
     bool isRetry = false;
@@ -54,10 +55,6 @@
     bool leaving = false;
 };
 
-/// \brief Usual processing times of a service's requests, without queueing, by latency objective. Moving averages of what was
-/// observed, never above the latency objective.
-using ProcessingTimes = std::map<std::chrono::milliseconds, std::chrono::duration<double>>;
-
 /// \brief Requirements of a request that needs a server; sent to the coordinator.
 struct PlacementDemand {
     /// Id of the placement, unique in the fleet; zero if the coordinator is to choose one.
@@ -164,6 +161,9 @@
 /// \returns nothing if no server has capacity left or could answer in time.
 std::optional<PlacementChoice> chooseServer(std::span<TrackedServer* const> servers, const PlacementDemand&, const ProcessingTimes&, MonotonicTime now, double random);
 
+/// \returns the expected processing time of the request, without queueing.
+std::chrono::duration<double> expectedProcessingTime(const ProcessingTimes&, const PlacementDemand&);
+
 /// \returns whether the request should wait for a free slot rather than be sent to a server with \p loadPerSlot requests per
 /// slot.
 ///
--- a/tests/CoordinatedPlacementTest.cpp
+++ b/tests/CoordinatedPlacementTest.cpp
@@ -24,7 +24,7 @@
         clock.advance(1h);
         demand.latencyObjective = 1000ms;
         demand.timeToDeadline = 2000ms;
-        processingTimes[demand.latencyObjective] = 380ms;
+        processingTimes.byObjective[demand.latencyObjective].mean = 380ms;
         addServers(4);
     }
 
@@ -196,7 +196,7 @@
     for (int answer = 0; answer < 12; ++answer)
         finish(0, placeOn(0), PlacementStatus::Succeeded, 3800ms);
     CHECK(servers[0].latencyRatio > 4);
-    CHECK(processingTimes[demand.latencyObjective].count() < 1.2);
+    CHECK(processingTimes.byObjective[demand.latencyObjective].mean.count() < 1.2);
 }
 
 TEST_CASE_FIXTURE(CoordinatedPlacementFixture, "estimatedLoad, requests placed by other hosts, are included as reported by the server")
@@ -248,7 +248,7 @@
 
 TEST_CASE_FIXTURE(CoordinatedPlacementFixture, "shouldWaitForSlot, long request with seconds of slack, leaves the last slots to short ones")
 {
-    processingTimes[4000ms] = 1200ms;
+    processingTimes.byObjective[4000ms].mean = 1200ms;
     demand.latencyObjective = 4000ms;
     CHECK_FALSE(shouldWaitForSlot(demand, processingTimes, 0.8));
     CHECK(shouldWaitForSlot(demand, processingTimes, 1.0));
--- a/tests/PlacementFeedbackTest.cpp
+++ b/tests/PlacementFeedbackTest.cpp
@@ -96,7 +96,7 @@
         }
     }
 
-    double believedRatio() const { return processingTimes.at(demand.latencyObjective) / trueProcessingTime; }
+    double believedRatio() const { return processingTimes.byObjective.at(demand.latencyObjective).mean / trueProcessingTime; }
 };
 
 } // namespace
@@ -121,7 +121,7 @@
 TEST_CASE_FIXTURE(PlacementFeedbackFixture, "placement feedback, learned processing time far above the deadline, comes back within seconds")
 {
     addServers(12);
-    processingTimes[demand.latencyObjective] = 20s;
+    processingTimes.byObjective[demand.latencyObjective].mean = 20s;
     run(5s, 100);
     rejected = 0;
     run(5s, 100);
