--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "GrayFailureEstimate.h"
+#include "ProcessingTimes.h"
+#include "ServiceRefusals.h"
 
 #include <lacewingsail/World.h>
 
@@ -22,7 +24,7 @@
     MonotonicTime expiresAt {};
     /// Expected ratio of its time to answer to the processing time, from the server's load at the time of the placement.
     double congestionFactor = 1;
-    /// Latency objective of its route; identifies the kind of work.
+    WorkKind kind;
     std::chrono::milliseconds latencyObjective { 0 };
     /// Whether the request had been sent to another server before.
     bool isRetry = false;
@@ -40,6 +42,7 @@
     /// As in the last outcome that had it.
     double reportedLoad = 0;
     GrayFailureEstimate failureEstimate;
+    RefusalCounts refusals;
     /// Ratio of its time to answer to the usual one, smoothed.
     double latencyRatio = 1;
     MonotonicTime latencyRatioUpdatedAt {};
@@ -52,10 +55,6 @@
     bool leaving = false;
 };
 
-/// \brief Usual processing times of a service's requests, without queueing, by latency objective. Moving averages of what was
-/// observed, never above the latency objective.
-using ProcessingTimes = std::map<std::chrono::milliseconds, std::chrono::duration<double>>;
-
 /// \brief Requirements of a request that needs a server; sent to the coordinator.
 struct PlacementDemand {
     /// Id of the placement, unique in the fleet; zero if the coordinator is to choose one.
@@ -146,6 +145,9 @@
 /// \returns the estimated number of requests at the server.
 double estimatedLoad(const TrackedServer&, MonotonicTime now);
 
+/// \returns whether the server is believed to have a free slot.
+bool hasFreeSlot(const TrackedServer&, MonotonicTime now);
+
 /// \brief Chooses the server with the lowest expected loss, computed from the probability of a failure and from the expected
 /// time to answer relative to the latency objective.
 ///
@@ -159,6 +161,9 @@
 /// \returns nothing if no server has capacity left or could answer in time.
 std::optional<PlacementChoice> chooseServer(std::span<TrackedServer* const> servers, const PlacementDemand&, const ProcessingTimes&, MonotonicTime now, double random);
 
+/// \returns the expected processing time of the request, without queueing.
+std::chrono::duration<double> expectedProcessingTime(const ProcessingTimes&, const PlacementDemand&);
+
 /// \returns whether the request should wait for a free slot rather than be sent to a server with \p loadPerSlot requests per
 /// slot.
 ///
@@ -171,6 +176,7 @@
 
 /// \brief Removes a placement from \p server and records its outcome. \returns the placement, or nothing if it is unknown or has
 /// expired; its duration is not recorded then, but its status and the reported load are.
-std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes&, const PlacementOutcome&, MonotonicTime now);
+/// \param commonRefusedShare what the service's other servers refuse although they have free slots.
+std::optional<InFlightPlacement> finishPlacement(TrackedServer& server, ProcessingTimes&, const PlacementOutcome&, MonotonicTime now, double commonRefusedShare = 0);
 
 } // namespace lacewingsail
