Load above the common level of all zones is spread over the free room of the others

A zone's whole excess went to the one zone that was least loaded as of an exchange, however far it was, and hosts asked the cell of a random server.

chooseZone spreads the excess over the other zones in proportion to their free room and sends them no more than that; the additional round trip, learned from connections, counts as load relative to the work of a request. Of two random cells the less loaded one is asked. Slots count by the servers' speed.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -118,6 +118,7 @@
             if (const auto locked = weak.lock())
                 locked->stream.close();
         };
+        const MonotonicTime connectedFrom = services.clock.now();
         boost::system::error_code error;
         const auto address = net::ip::make_address(server.registration.endpoint.address, error);
         if (!error)
@@ -126,6 +127,7 @@
             log(Event("connect-failed").with("request", request.id).with("server", server.registration.id).with("address", text(server.registration.endpoint)).with("reason", error.message()));
             co_return ConnectResult { nullptr, isHostExhausted(error) };
         }
+        services.backends.recordConnectTime(server.registration.zone, services.clock.now() - connectedFrom);
         auto& socket = connection->stream.socket();
         socket.set_option(net::ip::tcp::no_delay(true), error);
         setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof tcpUserTimeoutMs);
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -164,15 +164,78 @@
     return found == m_servers.end() || !found->second->acceptsRequests ? nullptr : found->second;
 }
 
+namespace {
+
+    // Servers differ in speed; the average of fewer answers says little of it.
+    double believedSlots(const BackendState& state, std::chrono::milliseconds averageTime)
+    {
+        constexpr double minAnswers = 5;
+        const ServerStats stats = state.totalStats();
+        if (stats.answered < minAnswers || averageTime.count() <= 0)
+            return state.registration.slots.value;
+        return effectiveSlots(state.registration.slots, stats.totalAnswerMs / stats.answered / static_cast<double>(averageTime.count()));
+    }
+
+} // namespace
+
+void BackendTable::recordConnectTime(const ZoneId& zone, Duration time)
+{
+    constexpr double weight = 0.1;
+    const std::chrono::duration<double> sample = time;
+    const auto [known, added] = m_roundTrips.try_emplace(zone, sample);
+    known->second += (sample - known->second) * weight;
+}
+
+// Cells differ in size, and get requests in proportion to their servers.
+PlacementCell BackendTable::chooseCell(const ServiceId& service, const ZoneCapacity& capacity, std::uint64_t random) const
+{
+    const std::uint32_t count = cellCount(capacity.serverCount);
+    PlacementCell first { service, capacity.zone, 0, count };
+    if (count <= 1 || capacity.serverCount == 0)
+        return first;
+    std::size_t firstPosition = random % capacity.serverCount;
+    std::size_t secondPosition = random / capacity.serverCount % capacity.serverCount;
+    PlacementCell second = first;
+    const auto& states = serversForService(service);
+    for (const BackendStatePtr& state : states) {
+        if (state->registration.zone != capacity.zone)
+            continue;
+        if (firstPosition-- == 0)
+            first.index = cellIndex(state->registration.id, count);
+        if (secondPosition-- == 0)
+            second.index = cellIndex(state->registration.id, count);
+    }
+    if (first.index == second.index)
+        return first;
+    CellCapacity firstCapacity;
+    CellCapacity secondCapacity;
+    const auto averageTime = averageResponseTime(service);
+    for (const BackendStatePtr& state : states) {
+        if (state->registration.zone != capacity.zone)
+            continue;
+        const std::uint32_t index = cellIndex(state->registration.id, count);
+        if (index != first.index && index != second.index)
+            continue;
+        CellCapacity& cell = index == first.index ? firstCapacity : secondCapacity;
+        cell.slots += believedSlots(*state, averageTime);
+        cell.load += state->totalStats().inFlight;
+    }
+    return isFreer(secondCapacity, firstCapacity) ? second : first;
+}
+
 std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service) const
 {
     std::vector<ZoneCapacity> capacities;
+    const auto averageTime = averageResponseTime(service);
     for (const BackendStatePtr& state : serversForService(service)) {
         auto capacity = std::ranges::find(capacities, state->registration.zone, &ZoneCapacity::zone);
-        if (capacity == capacities.end())
+        if (capacity == capacities.end()) {
             capacity = capacities.insert(capacities.end(), ZoneCapacity { state->registration.zone });
+            const auto roundTrip = m_roundTrips.find(state->registration.zone);
+            capacity->roundTrip = roundTrip != m_roundTrips.end() ? roundTrip->second : capacity->roundTrip;
+        }
         ++capacity->serverCount;
-        capacity->slots += state->registration.slots.value;
+        capacity->slots += believedSlots(*state, averageTime);
         capacity->load += state->totalStats().inFlight;
     }
     return capacities;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -124,6 +124,12 @@
     /// \returns what the servers of a service refused requests of this host.
     ServiceRefusals& refusals(const ServiceId& service) { return m_refusals[service]; }
 
+    /// \brief Records how long a connection to a server of the zone took to open: one round trip.
+    void recordConnectTime(const ZoneId&, Duration);
+
+    /// \returns the cell of one of two random servers of the zone that has less load per slot.
+    PlacementCell chooseCell(const ServiceId&, const ZoneCapacity&, std::uint64_t random) const;
+
     /// \brief Records that a server stated that it is about to leave: it gets no new requests.
     void recordLeaving(BackendState&);
 
@@ -149,6 +155,8 @@
     std::map<ServiceId, std::vector<BackendStatePtr>> m_services;
     std::map<ServiceId, std::vector<BackendServerId>> m_leaving;
     std::map<ServiceId, ServiceRefusals> m_refusals;
+    /// Smoothed.
+    std::map<ZoneId, std::chrono::duration<double>> m_roundTrips;
 };
 
 /// \brief Removes and returns an idle connection that is still open, has no unread data and was used less than
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -235,18 +235,6 @@
         co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(std::optional<PlacementResponse>)>(initiate, net::use_awaitable);
     }
 
-    // The cell of a random server of the zone: cells differ in size, and get requests in proportion to their servers.
-    PlacementCell randomCell(const RequestServices& services, const ServiceId& service, const ZoneCapacity& capacity, std::uint64_t random)
-    {
-        const std::uint32_t count = cellCount(capacity.serverCount);
-        std::size_t position = random % std::max<std::size_t>(capacity.serverCount, 1);
-        for (const BackendStatePtr& state : services.backends.serversForService(service)) {
-            if (state->registration.zone == capacity.zone && position-- == 0)
-                return { service, capacity.zone, cellIndex(state->registration.id, count), count };
-        }
-        return { service, capacity.zone, 0, count };
-    }
-
     void cancelReservation(RequestServices& services, const ServerChoice& choice)
     {
         if (choice.reservation)
@@ -286,11 +274,11 @@
     {
         std::vector<ZoneCapacity> capacities = services.backends.zoneCapacities(request->service);
         std::uniform_real_distribution<double> uniform(0, 1);
-        auto zone = chooseZone(capacities, services.settings.zone, uniform(services.random));
+        auto zone = chooseZone(capacities, services.settings.zone, uniform(services.random), request->route->targetLatency);
         ServerChoice choice;
         bool answered = false;
         for (int asked = 0; zone && asked < maxZonesAsked; ++asked) {
-            const auto reply = co_await askCoordinator(services, randomCell(services, request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
+            const auto reply = co_await askCoordinator(services, services.backends.chooseCell(request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
             answered = answered || reply;
             if (reply)
                 keepBetterOffer(services, choice, *reply);
