--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -209,7 +209,7 @@
         return first;
     CellCapacity firstCapacity;
     CellCapacity secondCapacity;
-    const auto averageTime = averageResponseTime(service);
+    const auto averageTime = recentAverageTime(service);
     for (const BackendStatePtr& state : states) {
         if (state->registration.zone != capacity.zone)
             continue;
@@ -223,10 +223,19 @@
     return isFreer(secondCapacity, firstCapacity) ? second : first;
 }
 
+std::chrono::milliseconds BackendTable::recentAverageTime(const ServiceId& service) const
+{
+    constexpr std::chrono::milliseconds validity { 200 };
+    AverageTime& average = m_averageTimes[service];
+    if (m_clock.now() >= average.validUntil)
+        average = { averageResponseTime(service), m_clock.now() + validity };
+    return average.value;
+}
+
 std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service) const
 {
     std::vector<ZoneCapacity> capacities;
-    const auto averageTime = averageResponseTime(service);
+    const auto averageTime = recentAverageTime(service);
     for (const BackendStatePtr& state : serversForService(service)) {
         auto capacity = std::ranges::find(capacities, state->registration.zone, &ZoneCapacity::zone);
         if (capacity == capacities.end()) {
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -149,6 +149,14 @@
     void closeExpiredConnections();
 
 private:
+    /// \brief An average response time, kept for a moment: a sum over all servers is too much for each request.
+    struct AverageTime {
+        std::chrono::milliseconds value { 0 };
+        MonotonicTime validUntil {};
+    };
+
+    std::chrono::milliseconds recentAverageTime(const ServiceId&) const;
+
     const Clock& m_clock;
     std::shared_ptr<BackendConnections> m_connections;
     std::map<BackendServerId, BackendStatePtr> m_servers;
@@ -157,6 +165,7 @@
     std::map<ServiceId, ServiceRefusals> m_refusals;
     /// Smoothed.
     std::map<ZoneId, std::chrono::duration<double>> m_roundTrips;
+    mutable std::map<ServiceId, AverageTime> m_averageTimes;
 };
 
 /// \brief Removes and returns an idle connection that is still open, has no unread data and was used less than
