--- a/tests/ServiceRefusalsTest.cpp
+++ b/tests/ServiceRefusalsTest.cpp
@@ -108,6 +108,16 @@
             refuseAt(index, share);
     }
 
+    PlacementDemand makeDemand() const
+    {
+        PlacementDemand demand;
+        demand.service = cell.service;
+        demand.latencyObjective = 1000ms;
+        demand.timeToDeadline = 3000ms;
+        demand.maxLoadPerSlot = 1.5;
+        return demand;
+    }
+
     void place(Request request)
     {
         request.demand.isRetry = request.tries > 0;
@@ -155,13 +165,8 @@
         while (clock.now() < end) {
             clock.advance(interval);
             endRequests();
-            Request request;
-            request.demand.service = cell.service;
-            request.demand.latencyObjective = 1000ms;
-            request.demand.timeToDeadline = 3000ms;
-            request.demand.maxLoadPerSlot = 1.5;
             seen.arrivals += 1;
-            place(std::move(request));
+            place({ makeDemand(), 0 });
         }
         return seen;
     }
@@ -261,7 +266,7 @@
     }
     CHECK(retries <= bounds.retryRatio * arrivals + bounds.retrySlack);
     CHECK(retries >= 0.5 * bounds.retryRatio * arrivals);
-    const auto decision = coordinator.place(cell, { .latencyObjective = 1000ms, .timeToDeadline = 3000ms });
+    const auto decision = coordinator.place(cell, makeDemand());
     REQUIRE(decision);
     CHECK(decision->refusedShare > 0.35);
     CHECK(decision->refusedShare < 0.75);
@@ -276,7 +281,7 @@
     const Seen after = run(1s, 150);
     CHECK(after.turnedAway == 0);
     CHECK(after.least() * serverCount >= 0.5 * after.arrivals);
-    CHECK(coordinator.place(cell, { .latencyObjective = 1000ms, .timeToDeadline = 3000ms })->refusedShare == 0);
+    CHECK(coordinator.place(cell, makeDemand())->refusedShare == 0);
 }
 
 TEST_CASE_FIXTURE(RefusingServiceFixture, "one server refuses, others don't, it is found within some requests and left alone")
@@ -287,7 +292,7 @@
     CHECK(now.at(0) <= 12);
     CHECK(now.withoutRoom == 0);
     CHECK(now.turnedAway == 0);
-    CHECK(coordinator.place(cell, { .latencyObjective = 1000ms, .timeToDeadline = 3000ms })->refusedShare == 0);
+    CHECK(coordinator.place(cell, makeDemand())->refusedShare == 0);
 }
 
 TEST_CASE_FIXTURE(RefusingServiceFixture, "some servers refuse nearly all while all refuse a part, those get less")
