--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -235,18 +235,6 @@
         co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(std::optional<PlacementResponse>)>(initiate, net::use_awaitable);
     }
 
-    // The cell of a random server of the zone: cells differ in size, and get requests in proportion to their servers.
-    PlacementCell randomCell(const RequestServices& services, const ServiceId& service, const ZoneCapacity& capacity, std::uint64_t random)
-    {
-        const std::uint32_t count = cellCount(capacity.serverCount);
-        std::size_t position = random % std::max<std::size_t>(capacity.serverCount, 1);
-        for (const BackendStatePtr& state : services.backends.serversForService(service)) {
-            if (state->registration.zone == capacity.zone && position-- == 0)
-                return { service, capacity.zone, cellIndex(state->registration.id, count), count };
-        }
-        return { service, capacity.zone, 0, count };
-    }
-
     void cancelReservation(RequestServices& services, const ServerChoice& choice)
     {
         if (choice.reservation)
@@ -287,11 +275,11 @@
         std::vector<ZoneCapacity> capacities = services.backends.zoneCapacities(request->service);
         std::uniform_real_distribution<double> uniform(0, 1);
         const double random = uniform(services.random);
-        auto zone = hasServers(capacities, services.settings.zone) ? chooseZone(capacities, services.settings.zone, random) : chooseZoneByFreeCapacity(capacities, random);
+        auto zone = hasServers(capacities, services.settings.zone) ? chooseZone(capacities, services.settings.zone, random, request->route->targetLatency) : chooseZoneByFreeCapacity(capacities, random);
         ServerChoice choice;
         bool answered = false;
         for (int asked = 0; zone && asked < maxZonesAsked; ++asked) {
-            const auto reply = co_await askCoordinator(services, randomCell(services, request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
+            const auto reply = co_await askCoordinator(services, services.backends.chooseCell(request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
             answered = answered || reply;
             if (reply)
                 keepBetterOffer(services, choice, *reply);
