--- a/tests/gateway_test.py
+++ b/tests/gateway_test.py
@@ -24,6 +24,8 @@
 # Of the smallest hosts of the users' deployments.
 HOST_MEMORY_MB = 160
 IDLE_TIMEOUT_S = 3
+# Of the operators, for a configuration.
+BOUND_S = 2
 # Callers reuse a connection for up to four fifths of the idle timeout.
 REUSE_S = IDLE_TIMEOUT_S * 4 / 5
 
@@ -195,6 +197,46 @@
         wait_until(lambda host=host: send_request(host.callers, "GET", "/look/1").status == 200, "the restored key")
 
 
+def activations(host, version):
+    return [line for line in host.log_lines() if "configuration-activated" in line and f" version={version} " in line]
+
+
+# A host that the store refuses, or to which it gives no response, learns of the withdrawal from the other hosts only.
+def withdrawal_of_the_last_account_reaches_hosts_that_the_store_refuses(fixture):
+    store = Store(free_ports(1)[0])
+    store.topics, store.changed = fixture.store.topics, fixture.store.changed
+    host = Gateway("refused", "a", store, fixture.directory, BUILD)
+
+    def hears_of_others():
+        fixture.publish(ROUTES, ACCOUNTS)
+        wait_until(lambda: activations(host, fixture.version), "the configuration")
+        return "source=store" not in activations(host, fixture.version)[0]
+
+    try:
+        host.await_ready()
+        wait_until(hears_of_others, "an exchange with the other hosts")
+        for mode in ("busy", "silent", "reset"):
+            wait_until(lambda: send_request(host.callers, "GET", "/look/1").status == 200, f"{mode}: the key to be known")
+            store.mode = mode
+            # By then a read that waited for a record has ended.
+            time.sleep(1)
+            fixture.publish(ROUTES, [])
+            wait_until(lambda: send_request(host.callers, "GET", "/look/1").status == 401, f"{mode}: the key to be withdrawn", seconds=BOUND_S)
+            wait_until(lambda: activations(host, fixture.version), f"{mode}: the log")
+            activated = activations(host, fixture.version)
+            check(len(activated) == 1 and "source=store" not in activated[0], f"{mode}: activated by {activated}")
+            response = send_request(host.callers, "GET", "/look/1", key="never-held")
+            check(response.status == 401 and not fixture.executions(response.request_id), f"{mode}: an unknown key got {response.status}")
+            fixture.publish(ROUTES, ACCOUNTS)
+            wait_until(lambda: send_request(host.callers, "GET", "/look/1").status == 200, f"{mode}: the restored key")
+            store.mode = "up"
+    finally:
+        host.process.kill()
+        fixture.publish(ROUTES, ACCOUNTS)
+    for each in fixture.hosts:
+        wait_until(lambda each=each: send_request(each.callers, "GET", "/look/1").status == 200, "the restored key")
+
+
 def draining_server_gets_no_new_requests(fixture):
     draining = Backend(fixture.store, "i-draining", "desk", "a")
     fixture.backends.append(draining)
@@ -410,6 +452,7 @@
          slow_reader_gets_complete_closing_response, endless_responses_fail_and_memory_stays_bounded,
          booking_past_its_deadline_fails_and_is_not_repeated, deadline_beyond_all_time_is_that_of_the_route, account_above_its_rate_is_refused_on_all_hosts_together,
          configuration_and_key_changes_reach_all_hosts, withdrawal_of_the_last_account_closes_its_routes,
+        withdrawal_of_the_last_account_reaches_hosts_that_the_store_refuses,
          host_starts_and_serves_within_the_address_space_of_a_small_host, connection_is_kept_for_the_idle_timeout_after_a_slow_response, draining_server_gets_no_new_requests, refused_request_is_logged, settings_are_reloaded_on_sighup,
          requests_are_served_during_store_outages, host_without_configuration_is_not_ready, store_calls_wait_for_their_connection, planned_stop_completes_all_requests,
          planned_stop_waits_for_slow_response, crash_of_a_host_leaves_a_stack_trace]
