--- a/tests/evacuation_test.py
+++ b/tests/evacuation_test.py
@@ -91,6 +91,14 @@
     def take_back(self, zone):
         self.store.put("keyed.op", f"evacuate/{zone}", None)
 
+    def restore(self, copy):
+        """The store is away for a moment and comes back from a copy."""
+        self.store.mode = "reset"
+        # Reads that wait for a record end meanwhile.
+        time.sleep(0.3)
+        self.store.restore(copy)
+        self.store.mode = "up"
+
     def executed(self, zone):
         return sum(len(backend.executions) for backend in self.backends if backend.zone == zone)
 
@@ -117,6 +125,14 @@
     return any(all(part in line for part in parts) for line in host.log_lines())
 
 
+def metrics(host):
+    connection = http.client.HTTPConnection(host.operators, timeout=5)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    return text
+
+
 def evacuated_zone_gets_no_requests_until_it_is_taken_back(fixture):
     with callers_on_all_hosts(fixture) as statuses:
         for zone in ZONES:
@@ -127,6 +143,7 @@
         check_gets_no_requests(fixture, "b", statuses, "after the bound")
         for host in fixture.hosts:
             check(has_line(host, "evacuation-learned", "zone=b"), f"{host.name} has not learned of it")
+            check('lacewingsail_zone_evacuated{zone="b"} 1' in metrics(host), f"{host.name} does not count it")
         check(has_line(fixture.hosts[2], "evacuation-learned", "zone=b", "source=host-"), "the refused host heard of it from the store")
         newcomers = [fixture.start_host("b", fixture.store), fixture.start_host("c", fixture.refusing)]
         for newcomer in newcomers:
@@ -167,7 +184,30 @@
     wait_until(lambda: all(send_request(host.callers, "GET", "/look/1").status == 200 for host in fixture.hosts), "all hosts to serve again")
 
 
-CASES = [evacuated_zone_gets_no_requests_until_it_is_taken_back, spoilt_records_change_nothing, service_without_other_servers_is_refused_at_once]
+def copy_of_the_store_neither_brings_an_evacuation_back_nor_ends_it(fixture):
+    with callers_on_all_hosts(fixture) as statuses:
+        fixture.evacuate("b")
+        time.sleep(BOUND_S)
+        copy = fixture.store.copy()
+        fixture.take_back("b")
+        fixture.await_use("b")
+        time.sleep(BOUND_S)
+        fixture.restore(copy)
+        # Long enough for the copy to reach all hosts.
+        time.sleep(BOUND_S)
+        fixture.await_use("b")
+        copy = fixture.store.copy()
+        fixture.evacuate("a")
+        time.sleep(BOUND_S)
+        fixture.restore(copy)
+        time.sleep(BOUND_S)
+        check_gets_no_requests(fixture, "a", statuses, "after the copy that lacks the evacuation")
+        fixture.take_back("a")
+        fixture.await_use("a")
+
+
+CASES = [evacuated_zone_gets_no_requests_until_it_is_taken_back, spoilt_records_change_nothing,
+         copy_of_the_store_neither_brings_an_evacuation_back_nor_ends_it, service_without_other_servers_is_refused_at_once]
 
 
 if __name__ == "__main__":
