--- a/tests/EvacuationsTest.cpp
+++ b/tests/EvacuationsTest.cpp
@@ -110,6 +110,20 @@
     CHECK(evacuations.isEvacuated(zone));
 }
 
+TEST_CASE("Evacuations, all orders of delivery, some twice, end in the same state")
+{
+    const std::vector<ZoneEvacuation> records { began(1, 3), ended(1, 5), began(1, 8), ended(2, 6), began(2, 7) };
+    std::vector<std::size_t> order { 0, 1, 2, 3, 4 };
+    do {
+        Evacuations evacuations;
+        for (const std::size_t index : order)
+            evacuations.apply(records[index]);
+        for (const std::size_t index : order)
+            CHECK(evacuations.apply(records[index]) == EvacuationChange::None);
+        CHECK(evacuations.records() == std::vector { began(2, 7) });
+    } while (std::ranges::next_permutation(order).found);
+}
+
 TEST_CASE("Evacuations, end is heard before the beginning, stays ended")
 {
     Evacuations evacuations = knowing({ ended(1, 12) });
