Cold servers get no more from all hosts than their service states

A server that has just started bears a stated rate until it is warm, and crashes well above it. Its coldness only lowered its weight, so that under full demand it got as many requests as a warm one; a server that turned cold again was not noticed at all, as the registry reported only other changes.

Now each role has a fixed part of the bound (coldRate x cold_overshoot + cold_slack): the first coordinator of a cell, the second, and all hosts without one. Parts are counted over 1.5 s, as requests placed in that time may arrive in one. A coordinator multiplies its part by the share of the fleet that it hears, and places nothing on cold servers for 1.5 s after it took over. A bad rate keeps the last valid configuration.

The platform's bounds table reaches the settings whole, as older platforms have no fields for these bounds.

--- a/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
+++ b/packages/discovery/lacewingsail/src/Discovery/ServerRegistry.cpp
@@ -20,6 +20,11 @@
         return same != right;
     }
 
+    // Delays of heartbeats and messages change the end of a cold period by less.
+    constexpr std::chrono::milliseconds warmupTolerance { 250 };
+
+    bool turnedCold(MonotonicTime before, MonotonicTime after, MonotonicTime now) { return after > std::max(before, now) + warmupTolerance; }
+
     // Hosts that follow a newer era have read its records, but what an older one said besides is in no record any more.
     bool mayLack(StorePosition changePosition, StorePosition from)
     {
@@ -39,7 +44,7 @@
     }
     Entry& entry = found->second;
     const bool renewed = entry.expiredAt && !change.expiredFor && change.position >= entry.changePosition;
-    const bool changed = internal::differs(entry.registration, *change.server) || renewed;
+    const bool changed = internal::differs(entry.registration, *change.server) || internal::turnedCold(entry.warmupEndsAt, warmupEndsAt, now) || renewed;
     entry.registration = *change.server;
     entry.warmupEndsAt = warmupEndsAt;
     if (renewed)
--- a/packages/exchange/lacewingsail/Exchange.h
+++ b/packages/exchange/lacewingsail/Exchange.h
@@ -9,6 +9,7 @@
 
 #include "src/Exchange/ForwardDeclarations.h"
 
+#include "src/Exchange/ColdServerLimiter.h"
 #include "src/Exchange/FleetDirectory.h"
 #include "src/Exchange/StatsAggregator.h"
 
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.cpp
@@ -1,6 +1,7 @@
 #include <lacewingsail/Exchange.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingsail {
 
@@ -143,19 +144,53 @@
     for (const auto& [id, entry] : m_entries) {
         if (rendezvousWeight(account.value(), id.value()) <= ownWeight)
             continue;
-        const MonotonicTime takeoverAt = entry.lastAliveAt + internal::takeoverDelay;
-        if (entry.leaving)
-            since = std::max(since, entry.lastAliveAt);
-        else if (now >= takeoverAt)
-            since = std::max(since, takeoverAt);
-        else if (now - entry.startedAt < delay)
-            since = std::max(since, entry.startedAt);
-        else
+        const auto endedAt = grantsEndedAt(entry, delay, now);
+        if (!endedAt)
             return {};
+        since = std::max(since, *endedAt);
     }
     return { reachableShare(now), since };
 }
 
+// When another host had granted its last tokens; nothing if it may still grant some.
+std::optional<MonotonicTime> FleetDirectory::grantsEndedAt(const Entry& entry, Duration delay, MonotonicTime now)
+{
+    const MonotonicTime takeoverAt = entry.lastAliveAt + internal::takeoverDelay;
+    if (entry.leaving)
+        return entry.lastAliveAt;
+    if (now >= takeoverAt)
+        return takeoverAt;
+    if (now - entry.startedAt < delay)
+        return entry.startedAt;
+    return std::nullopt;
+}
+
+CellAuthority FleetDirectory::cellAuthority(const ZoneId& zone, std::string_view cell, MonotonicTime now) const
+{
+    const Duration delay = coordinationDelay(now);
+    if (m_leaving || !knowsFleetSize() || m_self.zone != zone || now - m_startedAt < delay)
+        return {};
+    std::vector<LiveHost> hosts { m_self };
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.host.zone == zone)
+            hosts.push_back(entry.host);
+    }
+    MonotonicTime since = delay == internal::fleetStartDelay ? earlierGrantsEndedAt(now) : m_startedAt + delay;
+    ColdServerSender role = ColdServerSender::FirstCoordinator;
+    for (const LiveHost* host : rankHostsByProcessor(hosts, cell, hosts.size())) {
+        if (host->id == m_self.id)
+            break;
+        const auto endedAt = grantsEndedAt(m_entries.at(host->id), delay, now);
+        if (endedAt) {
+            since = std::max(since, *endedAt);
+            continue;
+        }
+        if (std::exchange(role, ColdServerSender::SecondCoordinator) == ColdServerSender::SecondCoordinator)
+            return {};
+    }
+    return { role, { reachableShare(now), since } };
+}
+
 // The hosts on the other side of a network partition use their own share of each account there. A host that returns after
 // a silence may still count others among its own.
 double FleetDirectory::reachableShare(MonotonicTime now) const
--- a/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
+++ b/packages/exchange/lacewingsail/src/Exchange/FleetDirectory.h
@@ -3,6 +3,8 @@
 #include <lacewingsail/Policy.h>
 
 #include <map>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace lacewingsail {
@@ -23,6 +25,12 @@
 /// \brief Whether a record can be that of a host of the fleet.
 bool isValid(const HostRecord&);
 
+/// \brief What a host may grant as a coordinator of a cell of servers.
+struct CellAuthority {
+    ColdServerSender role = ColdServerSender::FirstCoordinator;
+    GrantAuthority authority;
+};
+
 /// \brief The known hosts of the fleet, and when each was last seen alive by this host or another.
 class FleetDirectory {
 public:
@@ -86,6 +94,10 @@
     /// \returns what this host may grant as the coordinator of \p account; no share if another host is or may be its coordinator.
     GrantAuthority coordinatorAuthority(const ClientAccountId& account, MonotonicTime now) const;
 
+    /// \returns whether this host is the first or second coordinator of a cell of servers in \p zone, and what it may grant as such.
+    /// \param cell key by which hosts rank the coordinators of the cell. Allocates.
+    CellAuthority cellAuthority(const ZoneId& zone, std::string_view cell, MonotonicTime now) const;
+
     /// \returns what this host may grant of the part of a limit that needs no coordinator.
     GrantAuthority uncoordinatedAuthority(MonotonicTime now) const;
 
@@ -97,6 +109,7 @@
 
 private:
     Duration coordinationDelay(MonotonicTime now) const;
+    static std::optional<MonotonicTime> grantsEndedAt(const Entry&, Duration delay, MonotonicTime now);
     MonotonicTime earlierGrantsEndedAt(MonotonicTime now) const;
     double reachableShare(MonotonicTime now) const;
 
--- a/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
+++ b/packages/exchange/lacewingsail/src/Exchange/ForwardDeclarations.h
@@ -3,6 +3,7 @@
 namespace lacewingsail {
 
 class AccountRateLimiter;
+class ColdServerLimiter;
 class FleetDirectory;
 class FleetExchange;
 class GatewayCalls;
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -55,8 +55,7 @@
 std::optional<LiveHost> PlacementClient::coordinatorFor(const PlacementCell& cell)
 {
     const MonotonicTime now = m_clock.now();
-    const std::string subject = cell.service.value() + '/' + std::to_string(cell.index);
-    for (const LiveHost* host : rankHostsByProcessor(hostsInZone(cell.zone), subject, internal::maxCoordinators)) {
+    for (const LiveHost* host : rankHostsByProcessor(hostsInZone(cell.zone), coordinatorKey(cell), internal::maxCoordinators)) {
         const auto avoided = m_avoidUntil.find(host->id);
         if (avoided == m_avoidUntil.end() || now >= avoided->second)
             return *host;
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -134,6 +134,8 @@
     const ProcessingTimes& processingTimes = m_processingTimes[cell.service];
     // Hashes of successive ids are spread well enough to break ties.
     const double random = static_cast<double>(stableHash(std::to_string(placementId)) >> 11) * 0x1.0p-53;
+    if (m_coldServers)
+        m_coldServers->update(cell, servers);
     const auto chosen = chooseServer(servers, budgetedDemand, processingTimes, now, random);
     if (!chosen) {
         logRejection(cell, servers, demand);
@@ -145,6 +147,7 @@
         return PlacementDecision { std::nullopt, 0, 0, {}, true, false };
     TrackedServer& server = *servers[chosen->serverIndex];
     lacewingsail::addPlacement(server, budgetedDemand, placementId, now);
+    countPlacement(server.recentlyPlaced, now);
     return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
 }
 
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ColdServerLimiter.h"
+
 #include <lacewingsail/Discovery.h>
 #include <lacewingsail/Policy.h>
 
@@ -39,6 +41,9 @@
     /// one.
     PlacementCoordinator(const ServerRegistry&, const GatewayBounds&, const Clock&, std::uint64_t firstPlacementId);
 
+    /// \brief Sets what bounds the requests to cold servers; without it they are only chosen less often.
+    void setColdServerLimiter(ColdServerLimiter& limiter) { m_coldServers = &limiter; }
+
     /// \brief Updates the tracked servers from the registry. Servers of the same incarnation keep their state.
     void update();
 
@@ -60,6 +65,7 @@
     const ServerRegistry& m_registry;
     const GatewayBounds& m_bounds;
     const Clock& m_clock;
+    ColdServerLimiter* m_coldServers = nullptr;
     std::uint64_t m_nextPlacementId;
     std::map<BackendServerId, TrackedServer> m_servers;
     /// The cells that were asked for since the last update.
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -164,15 +164,16 @@
     return found == m_servers.end() || !found->second->acceptsRequests ? nullptr : found->second;
 }
 
-std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service) const
+std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service, double coldSlotShare) const
 {
+    const MonotonicTime now = m_clock.now();
     std::vector<ZoneCapacity> capacities;
     for (const BackendStatePtr& state : serversForService(service)) {
         auto capacity = std::ranges::find(capacities, state->registration.zone, &ZoneCapacity::zone);
         if (capacity == capacities.end())
             capacity = capacities.insert(capacities.end(), ZoneCapacity { state->registration.zone });
         ++capacity->serverCount;
-        capacity->slots += state->registration.slots.value;
+        capacity->slots += state->registration.slots.value * (now < state->warmupEndsAt ? coldSlotShare : 1);
         capacity->load += state->totalStats().inFlight;
     }
     return capacities;
--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.h
@@ -78,6 +78,8 @@
     MonotonicTime overloadedUntil {};
     /// Estimate from the outcomes of this host's requests.
     GrayFailureEstimate failureEstimate;
+    /// Requests that this host has placed on it without a coordinator.
+    RecentlyPlaced recentlyPlaced;
     std::deque<BackendConnectionPtr> idleConnections;
 
     /// \returns the statistics over all hosts.
@@ -124,7 +126,8 @@
     void recordLeaving(BackendState&);
 
     /// \returns the number, slots and load of a service's servers in each availability zone. Allocates.
-    std::vector<ZoneCapacity> zoneCapacities(const ServiceId&) const;
+    /// \param coldSlotShare share of its slots that a cold server counts with.
+    std::vector<ZoneCapacity> zoneCapacities(const ServiceId&, double coldSlotShare) const;
 
     /// \returns the statistics of this host's requests, decayed to the present. Allocates.
     ServerStatsMap localStats();
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -107,6 +107,7 @@
     StatsAggregator stats { settings.id, settings.zone };
     AccountRateLimiter tokens { directory, active, settings.bounds, clock, random };
     PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
+    ColdServerLimiter coldServers { directory, active, settings.bounds, clock };
     PlacementClient placement { directory, placementCoordinator, loop, clock, random() };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
     internal::MessageBuffers requestBuffers { internal::MessageBuffers::maxRequestBytes };
@@ -114,7 +115,7 @@
     internal::CallerConnections connections;
     internal::CallerLimitLog callerLimitLog;
     internal::AcceptFailureLog acceptFailureLog;
-    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
+    internal::RequestServices services { settings, parts.headerNames, clock, loop.context(), active, follower, directory, tokens, placement, coldServers, backends, requestBuffers, responseBuffers, metrics, random, connections.plannedStop };
     net::ip::tcp::acceptor acceptor { loop.context() };
     net::signal_set signals { loop.context(), SIGTERM, SIGINT, SIGHUP };
     std::unique_ptr<GatewayCalls> calls;
@@ -183,6 +184,8 @@
     }
     exchange.connect(*calls);
     tokens.connect(*calls);
+    coldServers.setMetrics(metrics);
+    placementCoordinator.setColdServerLimiter(coldServers);
     tokens.setCoordinatorProbe([this](const LiveHost& coordinator) { exchange.probe(coordinator); });
     placement.connect(*calls);
     return {};
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -42,6 +42,8 @@
     constexpr double maxLoadPerSlotUrgent = 1.8;
     constexpr double maxLoadPerSlotOther = 1.5;
     constexpr Priority urgentPriority { 1 };
+    // A cold server bears about as many requests as this share of its slots would run.
+    constexpr double coldSlotShare = 0.3;
 
     std::chrono::milliseconds jitteredDelay(RequestServices& services, std::chrono::milliseconds minDelay)
     {
@@ -162,8 +164,12 @@
         const auto averageTime = services.backends.averageResponseTime(request.service);
         std::vector<PlacementCandidate> candidates;
         candidates.reserve(states.size());
-        for (const BackendStatePtr& state : states)
-            candidates.push_back(makeCandidate(services, request, *state, averageTime));
+        const ColdServerPart coldPart = services.coldServers.uncoordinatedPart(request.service);
+        for (const BackendStatePtr& state : states) {
+            PlacementCandidate candidate = makeCandidate(services, request, *state, averageTime);
+            candidate.coldRateBinds = candidate.warmingUp && !services.coldServers.mayPlace(state->registration.id, state->recentlyPlaced, coldPart);
+            candidates.push_back(candidate);
+        }
         std::uniform_real_distribution<double> uniform(0, 1);
         PlacementConstraints constraints = placementConstraints(services, request);
         auto position = chooseWeighted(candidates, constraints, uniform(services.random));
@@ -177,7 +183,10 @@
                 candidate.unreachable = false;
             position = chooseWeighted(candidates, constraints, uniform(services.random));
         }
-        return position ? states[*position] : nullptr;
+        if (!position)
+            return nullptr;
+        countPlacement(states[*position]->recentlyPlaced, services.clock.now());
+        return states[*position];
     }
 
     /// \brief The server chosen for one attempt, or the reason why there is none.
@@ -281,7 +290,7 @@
     // server at an acceptable loss. If no coordinator answers, or only with servers unknown here, this host chooses from its own statistics.
     net::awaitable<ServerChoice> chooseWithCoordinator(RequestServices& services, std::shared_ptr<RequestState> request)
     {
-        std::vector<ZoneCapacity> capacities = services.backends.zoneCapacities(request->service);
+        std::vector<ZoneCapacity> capacities = services.backends.zoneCapacities(request->service, services.coldServers.bound(request->service) ? coldSlotShare : 1);
         std::uniform_real_distribution<double> uniform(0, 1);
         auto zone = chooseZone(capacities, services.settings.zone, uniform(services.random));
         ServerChoice choice;
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -29,6 +29,7 @@
     FleetDirectory& directory;
     AccountRateLimiter& tokens;
     PlacementClient& placement;
+    ColdServerLimiter& coldServers;
     BackendTable& backends;
     /// Bodies of requests until their end.
     MessageBuffers& requestBuffers;
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -13,6 +13,7 @@
 #include "src/Policy/BookingClaims.h"
 #include "src/Policy/BookingFold.h"
 #include "src/Policy/CellRetryBudget.h"
+#include "src/Policy/ColdServerRate.h"
 #include "src/Policy/ConfigurationEdits.h"
 #include "src/Policy/ConfigurationFold.h"
 #include "src/Policy/CoordinatedPlacement.h"
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -96,7 +96,7 @@
 
     bool isExcluded(const TrackedServer& server, const PlacementDemand& demand, MonotonicTime now)
     {
-        return server.leaving || now < server.overloadedUntil || std::ranges::find(demand.excludedServers, server.registration.id) != demand.excludedServers.end();
+        return server.leaving || server.coldRateBinds || now < server.overloadedUntil || std::ranges::find(demand.excludedServers, server.registration.id) != demand.excludedServers.end();
     }
 
     bool isProbeDue(const TrackedServer& server, const PlacementDemand& demand, double probability, MonotonicTime now)
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ColdServerRate.h"
 #include "GrayFailureEstimate.h"
 
 #include <lacewingsail/World.h>
@@ -50,6 +51,12 @@
     bool hasAnswered = false;
     /// This incarnation stated that it is about to leave; it gets no further requests.
     bool leaving = false;
+    RecentlyPlaced recentlyPlaced;
+    /// It is cold and bears no further request now.
+    bool coldRateBinds = false;
+    /// What was last logged of its coldness, and when that its rate binds.
+    bool knownCold = false;
+    MonotonicTime coldRateLoggedAt {};
 };
 
 /// \brief Usual processing times of a service's requests, without queueing, by latency objective. Moving averages of what was
--- a/packages/policy/lacewingsail/src/Policy/LocalPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/LocalPlacement.cpp
@@ -39,7 +39,7 @@
 
     bool isEligible(const PlacementCandidate& server)
     {
-        return !server.alreadyTried && !server.refusing && !server.overloaded && !server.unreachable;
+        return !server.alreadyTried && !server.coldRateBinds && !server.refusing && !server.overloaded && !server.unreachable;
     }
 
     double selectionWeight(const PlacementCandidate& server, const PlacementConstraints& constraints, bool avoidFailing)
--- a/packages/policy/lacewingsail/src/Policy/LocalPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/LocalPlacement.h
@@ -30,6 +30,8 @@
     /// It asked this host to send nothing for a while.
     bool refusing = false;
     bool alreadyTried = false;
+    /// It is cold and bears no further request of this host now.
+    bool coldRateBinds = false;
 };
 
 /// \brief Constraints on the choice of a server for a request.
--- a/packages/policy/lacewingsail/src/Policy/PlacementCell.cpp
+++ b/packages/policy/lacewingsail/src/Policy/PlacementCell.cpp
@@ -11,6 +11,8 @@
 
 } // namespace internal
 
+std::string coordinatorKey(const PlacementCell& cell) { return cell.service.value() + '/' + std::to_string(cell.index); }
+
 std::uint32_t cellCount(std::size_t servers)
 {
     return static_cast<std::uint32_t>(std::max<std::size_t>(1, (servers + internal::serversPerCell / 2) / internal::serversPerCell));
--- a/packages/policy/lacewingsail/src/Policy/PlacementCell.h
+++ b/packages/policy/lacewingsail/src/Policy/PlacementCell.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace lacewingsail {
 
@@ -19,6 +20,9 @@
     auto operator<=>(const PlacementCell&) const = default;
 };
 
+/// \returns the key by which hosts rank the coordinators of a cell among the hosts of its zone.
+std::string coordinatorKey(const PlacementCell&);
+
 /// \returns the number of cells for \p servers servers of a service in one zone.
 ///
 /// A service can have hundreds of servers and a host only a tenth of a processor core, too little to place all their requests.
--- a/tests/PlatformAdapterTest.cpp
+++ b/tests/PlatformAdapterTest.cpp
@@ -306,3 +306,34 @@
     for (const char* text : { "", "3", "3,1", "3,1,8,9", "3,1,x", "-1,0,8" })
         CHECK_FALSE(names.parseLoad(text));
 }
+
+TEST_CASE("translateBounds, table of the platform, becomes the bounds of cold servers")
+{
+    Problems problems;
+    const std::string document = translateBounds(R"({"host":"h","bounds":{"floor_share":0.5},"platform_bounds":{"warmupOvershoot":1.5,"warmupSlack":8,"drainS":2}})", problems);
+    CHECK(problems.empty());
+    CHECK(document == R"({"host":"h","bounds":{"floor_share":5E-1,"cold_overshoot":1.5E0,"cold_slack":8E0}})");
+}
+
+TEST_CASE("translateBounds, table without these bounds, adds none")
+{
+    Problems problems;
+    CHECK(translateBounds(R"({"bounds":{},"platform_bounds":{"drainS":2}})", problems) == R"({"bounds":{}})");
+    CHECK(translateBounds("{", problems) == "{");
+    CHECK(translateBounds(R"({"bounds": {}})", problems) == R"({"bounds": {}})");
+    CHECK(problems.empty());
+}
+
+TEST_CASE("translateBounds, bad value, is a problem that names its key")
+{
+    for (const char* bad : { "-1", "1e9", "\"8\"", "null", "true" }) {
+        Problems problems;
+        translateBounds(std::string(R"({"platform_bounds":{"warmupSlack":)") + bad + "}}", problems);
+        REQUIRE(problems.size() == 1);
+        CHECK(text(problems).find("platform_bounds.warmupSlack") != std::string::npos);
+    }
+    Problems problems;
+    translateBounds(R"({"platform_bounds":7})", problems);
+    REQUIRE(problems.size() == 1);
+    CHECK(text(problems).find("platform_bounds") != std::string::npos);
+}
