--- a/packages/policy/lacewingsail/src/Policy/ColdServerRate.cpp
+++ b/packages/policy/lacewingsail/src/Policy/ColdServerRate.cpp
@@ -12,7 +12,7 @@
     constexpr double secondCoordinatorShare = 0.25;
     // Hosts without a coordinator draw their parts at random, so that their sum varies; on average it is this share of what is
     // reserved for it.
-    constexpr double uncoordinatedShare = 0.4;
+    constexpr double uncoordinatedShare = 0.25;
     constexpr double mostBound = 1e6;
     constexpr std::chrono::milliseconds countedPeriod { 100 };
     static_assert(countedPeriod * (RecentlyPlaced::periods - 1) >= coldServerWindow);
--- a/tests/ColdServerRateTest.cpp
+++ b/tests/ColdServerRateTest.cpp
@@ -306,6 +306,31 @@
     CHECK(placedInAll() > 0);
 }
 
+TEST_CASE_FIXTURE(ColdServerFixture, "cold server, both coordinators and all other hosts place at once, stays within the bound")
+{
+    addHosts(111);
+    establish();
+    addServer("i-1", 120s);
+    std::vector<RecentlyPlaced> recently(hosts.size());
+    std::vector<std::size_t> coordinators;
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+        if (hosts[host]->directory.cellAuthority(cell.zone, coordinatorKey(cell), clock.now()).authority.share > 0)
+            coordinators.push_back(host);
+    }
+    REQUIRE(coordinators.size() == 2);
+    for (int step = 0; step < 600; ++step) {
+        clock.advance(100ms);
+        if (step % 40 == 0)
+            advance(0ms);
+        for (const std::size_t host : coordinators) {
+            while (place(host)) { }
+        }
+        for (std::size_t host = 0; host < hosts.size(); ++host)
+            placeLocally(*hosts[host], BackendServerId("i-1"), recently[host]);
+    }
+    CHECK(static_cast<double>(mostInOneSecond()) <= statedBound);
+}
+
 TEST_CASE_FIXTURE(ColdServerFixture, "warm server, turns cold again in the same incarnation, is bounded from then on")
 {
     addHosts(1);
