--- a/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendTable.cpp
@@ -232,8 +232,9 @@
     return average.value;
 }
 
-std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service) const
+std::vector<ZoneCapacity> BackendTable::zoneCapacities(const ServiceId& service, double coldSlotShare) const
 {
+    const MonotonicTime now = m_clock.now();
     std::vector<ZoneCapacity> capacities;
     const auto averageTime = recentAverageTime(service);
     for (const BackendStatePtr& state : serversForService(service)) {
@@ -244,7 +245,7 @@
             capacity->roundTrip = roundTrip != m_roundTrips.end() ? roundTrip->second : capacity->roundTrip;
         }
         ++capacity->serverCount;
-        capacity->slots += believedSlots(*state, averageTime);
+        capacity->slots += believedSlots(*state, averageTime) * (now < state->warmupEndsAt ? coldSlotShare : 1);
         capacity->load += state->totalStats().inFlight;
     }
     return capacities;
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ColdServerRate.h"
 #include "GrayFailureEstimate.h"
 #include "ProcessingTimes.h"
 #include "ServiceRefusals.h"
@@ -53,6 +54,12 @@
     bool hasAnswered = false;
     /// This incarnation stated that it is about to leave; it gets no further requests.
     bool leaving = false;
+    RecentlyPlaced recentlyPlaced;
+    /// It is cold and bears no further request now.
+    bool coldRateBinds = false;
+    /// What was last logged of its coldness, and when that its rate binds.
+    bool knownCold = false;
+    MonotonicTime coldRateLoggedAt {};
 };
 
 /// \brief Requirements of a request that needs a server; sent to the coordinator.
