Requests wait at the coordinator by rank

A request that found no room below a load cap was refused at once, or asked again in 100 ms, in no order: urgent requests were served less often than others.

A coordinator now holds demands in a bounded queue by priority, latency objective and work, tells at once those that it will not reach in time, and answers when a slot becomes free or after a short hold. Servers get few requests beyond their slots. Hosts cancel demands whose callers have left.

--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -74,44 +74,94 @@
         }
     }
 
-    // One placement and its outcome at the coordinator of a cell, in a fleet with two services in five availability zones.
-    void place(benchmark::State& state)
-    {
-        constexpr int services = 2;
-        constexpr int placementZones = 5;
+    class IdleEventLoop final : public EventLoop {
+    public:
+        void post(Handler) override { }
+        void after(std::chrono::milliseconds, Handler) override { }
+    };
+
+    // A fleet with two services in five availability zones.
+    struct Fleet {
+        static constexpr int services = 2;
+        static constexpr int placementZones = 5;
         ManualClock clock;
-        clock.advance(std::chrono::hours(1));
-        const GatewayBounds bounds;
+        GatewayBounds bounds;
         ServerRegistry registry;
-        const auto servers = static_cast<int>(state.range(0));
-        for (int index = 0; index < servers; ++index) {
-            RegisteredServer server;
-            server.id = BackendServerId("i-" + std::to_string(index));
-            server.service = ServiceId("service-" + std::to_string(index % services));
-            server.zone = ZoneId("zone-" + std::to_string(index % placementZones));
-            server.endpoint = { "10.0.0.1", 80 };
-            server.slots = SlotCount { 6 };
-            server.heartbeat = 1;
-            registry.apply({ server.id, { {}, LogOffset { static_cast<std::uint64_t>(index) } }, server, std::nullopt }, StoreHealth::Healthy, clock.now());
+        IdleEventLoop loop;
+        PlacementCoordinator coordinator { registry, bounds, loop, clock, 1 };
+        PlacementCell cell;
+
+        explicit Fleet(int servers)
+            : cell { ServiceId("service-0"), ZoneId("zone-0"), 0, cellCount(static_cast<std::size_t>(servers / services / placementZones)) }
+        {
+            clock.advance(std::chrono::hours(1));
+            for (int index = 0; index < servers; ++index) {
+                RegisteredServer server;
+                server.id = BackendServerId("i-" + std::to_string(index));
+                server.service = ServiceId("service-" + std::to_string(index % services));
+                server.zone = ZoneId("zone-" + std::to_string(index % placementZones));
+                server.endpoint = { "10.0.0.1", 80 };
+                server.slots = SlotCount { 6 };
+                server.heartbeat = 1;
+                registry.apply({ server.id, { {}, LogOffset { static_cast<std::uint64_t>(index) } }, server, std::nullopt }, StoreHealth::Healthy, clock.now());
+            }
+            coordinator.update();
+        }
+
+        void end(const PlacementDecision& placed)
+        {
+            const PlacementOutcome outcome { *placed.server, placed.placementId, PlacementStatus::Succeeded, std::chrono::milliseconds(350), 1.0, false };
+            coordinator.recordOutcomes(std::span(&outcome, 1));
         }
-        PlacementCoordinator coordinator(registry, bounds, clock, 1);
-        coordinator.update();
-        const PlacementCell cell { ServiceId("service-0"), ZoneId("zone-0"), 0, cellCount(static_cast<std::size_t>(servers / services / placementZones)) };
+    };
+
+    // One placement and its outcome at the coordinator of a cell.
+    void place(benchmark::State& state)
+    {
+        Fleet fleet(static_cast<int>(state.range(0)));
         PlacementDemand demand;
-        demand.service = cell.service;
+        demand.service = fleet.cell.service;
         demand.latencyObjective = std::chrono::milliseconds(1200);
         demand.timeToDeadline = std::chrono::milliseconds(4000);
         for ([[maybe_unused]] auto step : state) {
-            clock.advance(std::chrono::milliseconds(10));
-            const auto decision = coordinator.place(cell, demand);
+            fleet.clock.advance(std::chrono::milliseconds(10));
+            std::optional<PlacementDecision> decision;
+            fleet.coordinator.place(fleet.cell, demand, [&decision](const std::optional<PlacementDecision>& answer) { decision = answer; });
             if (!decision || !decision->server)
                 return state.SkipWithError("no server was chosen");
-            const PlacementOutcome outcome { *decision->server, decision->placementId, PlacementStatus::Succeeded, std::chrono::milliseconds(350), 1.0, false };
-            coordinator.recordOutcomes(std::span(&outcome, 1));
+            fleet.end(*decision);
+        }
+    }
+
+    // The same while the servers are full: one request joins the queue, one outcome arrives, and one request gets its slot.
+    void placeFromQueue(benchmark::State& state)
+    {
+        Fleet fleet(static_cast<int>(state.range(0)));
+        PlacementDemand demand;
+        demand.service = fleet.cell.service;
+        demand.timeToDeadline = std::chrono::seconds(60);
+        std::vector<PlacementDecision> placed;
+        const auto ask = [&] {
+            fleet.clock.advance(std::chrono::milliseconds(1));
+            fleet.coordinator.place(fleet.cell, demand, [&placed](const std::optional<PlacementDecision>& answer) {
+                if (answer && answer->server)
+                    placed.push_back(*answer);
+            });
+        };
+        while (fleet.coordinator.waitingDemands() < static_cast<std::size_t>(state.range(1)))
+            ask();
+        std::size_t next = 0;
+        for ([[maybe_unused]] auto step : state) {
+            ask();
+            if (next >= placed.size())
+                return state.SkipWithError("no request was placed");
+            fleet.end(PlacementDecision(placed[next++]));
         }
+        state.counters["waiting"] = static_cast<double>(fleet.coordinator.waitingDemands());
     }
 
     BENCHMARK(place)->Arg(255)->Arg(660)->Arg(3500);
+    BENCHMARK(placeFromQueue)->Args({ 255, 900 })->Args({ 3500, 900 });
     BENCHMARK(choose)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(eject)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(budget);
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -6,6 +6,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <set>
@@ -33,6 +34,34 @@
         Reply reply;
     };
 
+    /// \brief A call for a placement, which may be answered late.
+    class PlaceReactor final : public grpc::ServerUnaryReactor {
+    public:
+        using Cancel = std::function<void(std::uint64_t placementId)>;
+
+        explicit PlaceReactor(Cancel cancel)
+            : m_cancel(std::move(cancel))
+        {
+        }
+
+        void setPlacementId(std::uint64_t placementId) { m_placementId = placementId; }
+
+        // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
+        void OnDone() override { delete this; }
+
+        // The caller waits no longer, or its host is lost.
+        // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
+        void OnCancel() override
+        {
+            if (const std::uint64_t placementId = m_placementId; placementId != 0)
+                m_cancel(placementId);
+        }
+
+    private:
+        Cancel m_cancel;
+        std::atomic<std::uint64_t> m_placementId { 0 };
+    };
+
     /// \brief Answers calls on the event loop's thread.
     class GatewayService final : public protocol::Gateways::CallbackService {
     public:
@@ -62,9 +91,19 @@
         }
 
         // NOLINTNEXTLINE(readability-identifier-naming): named by gRPC
-        grpc::ServerUnaryReactor* Place(grpc::CallbackServerContext* context, const protocol::PlaceRequest* request, protocol::PlaceReply* reply) override
+        grpc::ServerUnaryReactor* Place(grpc::CallbackServerContext* /*context*/, const protocol::PlaceRequest* request, protocol::PlaceReply* reply) override
         {
-            return answerOnLoop(*context, [this, request, reply] { handlePlace(*request, *reply); });
+            // NOLINTNEXTLINE(cppcoreguidelines-owning-memory): deletes itself, as gRPC has it
+            auto* reactor = new PlaceReactor([this](std::uint64_t placementId) { m_loop.post([this, placementId] { cancelPlacement(placementId); }); });
+            if (!recordUnanswered(reactor)) {
+                reactor->Finish(stopped());
+                return reactor;
+            }
+            m_loop.post([this, reactor, request, reply] {
+                if (isUnanswered(reactor))
+                    handlePlace(*reactor, *request, *reply);
+            });
+            return reactor;
         }
 
         /// \brief Fails all calls that are not answered, and those that still come. To be called once the event loop runs no more:
@@ -114,15 +153,36 @@
             return m_unanswered.erase(reactor) != 0;
         }
 
-        void handlePlace(const protocol::PlaceRequest& request, protocol::PlaceReply& reply)
+        bool isUnanswered(grpc::ServerUnaryReactor* reactor)
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_unanswered.contains(reactor);
+        }
+
+        // While a call is unanswered its messages exist: it is finished on this thread, or by close() once the loop runs no more.
+        void handlePlace(PlaceReactor& reactor, const protocol::PlaceRequest& request, protocol::PlaceReply& reply)
         {
             std::vector<PlacementOutcome> outcomes;
             for (const protocol::PlacementOutcome& outcome : request.outcomes())
                 outcomes.push_back(decode(outcome));
             m_handlers.recordOutcomes(outcomes);
-            if (!request.has_demand())
+            if (!request.has_demand()) {
+                if (takeUnanswered(&reactor))
+                    reactor.Finish(grpc::Status::OK);
                 return;
-            const auto decision = m_handlers.place(decodeCell(request.demand()), decode(request.demand()));
+            }
+            const PlacementDemand demand = decode(request.demand());
+            reactor.setPlacementId(demand.placementId);
+            m_handlers.place(decodeCell(request.demand()), demand, [this, &reactor, &reply](const std::optional<PlacementDecision>& decision) {
+                if (!takeUnanswered(&reactor))
+                    return;
+                encodeDecision(decision, reply);
+                reactor.Finish(grpc::Status::OK);
+            });
+        }
+
+        static void encodeDecision(const std::optional<PlacementDecision>& decision, protocol::PlaceReply& reply)
+        {
             reply.set_unknown(!decision);
             if (!decision)
                 return;
@@ -134,6 +194,13 @@
             reply.set_loss(static_cast<std::uint32_t>(decision->expectedLoss * hundredths));
         }
 
+        void cancelPlacement(std::uint64_t placementId)
+        {
+            PlacementOutcome cancellation;
+            cancellation.placementId = placementId;
+            m_handlers.recordOutcomes(std::span(&cancellation, 1));
+        }
+
         EventLoop& m_loop;
         GatewayCalls::Handlers m_handlers;
         std::mutex m_mutex;
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.h
@@ -21,8 +21,8 @@
         std::function<void(const protocol::ExchangeRequest&, protocol::ExchangeReply&)> exchange;
         /// Returns nothing if this host does not coordinate the account.
         std::function<std::optional<TokenGrant>(const TokenDemand&)> grantTokens;
-        /// Returns nothing if no server of the cell is known here.
-        std::function<std::optional<PlacementDecision>(const PlacementCell&, const PlacementDemand&)> place;
+        /// Answers within the call or later.
+        std::function<void(const PlacementCell&, const PlacementDemand&, DecisionCallback)> place;
         std::function<void(std::span<const PlacementOutcome>)> recordOutcomes;
     };
 
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.cpp
@@ -92,11 +92,13 @@
     m_loop.after(internal::outcomeDelay, [this] { flush(); });
 }
 
-void PlacementClient::place(const PlacementCell& cell, const PlacementDemand& demand, Callback callback)
+std::optional<PlacementTicket> PlacementClient::place(const PlacementCell& cell, const PlacementDemand& demand, Callback callback)
 {
     const auto coordinator = coordinatorFor(cell);
-    if (!coordinator)
-        return callback(std::nullopt);
+    if (!coordinator) {
+        callback(std::nullopt);
+        return std::nullopt;
+    }
     const auto respond = [callback = std::move(callback), coordinator = *coordinator](const std::optional<PlacementDecision>& decision) {
         if (!decision)
             return callback(std::nullopt);
@@ -106,10 +108,15 @@
     };
     PlacementDemand numbered = demand;
     numbered.placementId = m_nextPlacementId++;
-    if (coordinator->id == m_directory.self().id)
-        return respond(m_coordinator.place(cell, numbered));
-    if (!m_calls)
-        return respond(std::nullopt);
+    const PlacementTicket ticket { *coordinator, numbered.placementId };
+    if (coordinator->id == m_directory.self().id) {
+        m_coordinator.place(cell, numbered, respond);
+        return ticket;
+    }
+    if (!m_calls) {
+        respond(std::nullopt);
+        return std::nullopt;
+    }
     std::vector<PendingOutcome> outcomes = takeUnsentOutcomes(coordinator->id);
     const std::vector<PlacementOutcome> sent = internal::outcomesOf(outcomes);
     m_calls->place(coordinator->peerEndpoint, cell, numbered, sent, [this, coordinator = *coordinator, placementId = numbered.placementId, outcomes = std::move(outcomes), respond](const HostCalls::PlaceCallResult& result) mutable {
@@ -125,6 +132,18 @@
         }
         respond(result.reply);
     });
+    return ticket;
+}
+
+void PlacementClient::cancel(const PlacementTicket& ticket)
+{
+    PlacementOutcome cancellation;
+    cancellation.placementId = ticket.placementId;
+    if (ticket.coordinator.id == m_directory.self().id)
+        return m_coordinator.recordOutcomes(std::span(&cancellation, 1));
+    std::vector<PendingOutcome> outcomes;
+    outcomes.push_back({ std::move(cancellation), m_clock.now() + internal::outcomeRetention });
+    addUnsentOutcomes(ticket.coordinator, std::move(outcomes));
 }
 
 void PlacementClient::reportOutcome(const PlacementReservation& reservation, PlacementOutcome outcome)
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementClient.h
@@ -17,6 +17,12 @@
     std::uint64_t placementId = 0;
 };
 
+/// \brief A demand that has been sent to a coordinator.
+struct PlacementTicket {
+    LiveHost coordinator;
+    std::uint64_t placementId = 0;
+};
+
 /// \brief Result of asking for a server.
 struct PlacementResponse {
     /// Nothing if no server of the cell has free capacity.
@@ -48,7 +54,11 @@
     void connect(HostCalls& calls) { m_calls = &calls; }
 
     /// \brief Asks for a server of \p cell. The callback is called once, within the call or later.
-    void place(const PlacementCell& cell, const PlacementDemand&, Callback);
+    /// \returns nothing if there is no coordinator to ask.
+    std::optional<PlacementTicket> place(const PlacementCell& cell, const PlacementDemand&, Callback);
+
+    /// \brief Tells the coordinator that the request needs no server any more. The callback is still called.
+    void cancel(const PlacementTicket&);
 
     /// \brief Reports how a request ended; server and placement id of the outcome are taken from the reservation.
     void reportOutcome(const PlacementReservation&, PlacementOutcome);
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -3,17 +3,31 @@
 #include <lacewingsail/Observe.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lacewingsail {
 
 namespace internal {
 
-    // A full server has a free slot after a part of a request's duration: its requests end one after the other.
-    constexpr double retryObjectiveShare = 0.5;
-    constexpr std::chrono::milliseconds minRetryAfter { 100 };
-    constexpr std::chrono::milliseconds maxRetryAfter { 1000 };
-    // Time after which a waiting request asks again; several slots of a cell become free meanwhile.
-    constexpr std::chrono::milliseconds waitInterval { 100 };
+    // A demand is held at most for this, well below the time-out of the hosts' calls.
+    constexpr std::chrono::milliseconds maxHold { 100 };
+    // Share of the latency objective after which its host may look for room in other zones.
+    constexpr int maxHoldDivisor = 8;
+    constexpr std::chrono::milliseconds minHold { 20 };
+    // Share of the latency objective for which a request that loses nothing by waiting leaves slots to others; after it there is
+    // still time to compete for one.
+    constexpr int maxDeferralDivisor = 4;
+    // The hosts' sending delay and the way to the coordinator.
+    constexpr std::chrono::milliseconds outcomeDelay { 40 };
+    // Slots become free without an outcome too: placements expire, servers take requests again after an overload.
+    constexpr std::chrono::milliseconds tickInterval { 10 };
+    // When a demand that cannot be held, or has been cancelled, is worth another question.
+    constexpr std::chrono::milliseconds askAgainAfter { 50 };
+    constexpr std::chrono::milliseconds cancelledRetryAfter { 100 };
+    // Demands tried for a free slot: the first ones may exclude its server.
+    constexpr std::size_t maxTriedForSlot = 4;
+    constexpr double fullLoadPerSlot = 1;
+    constexpr std::chrono::seconds queueLogInterval { 1 };
     // A gray failure is logged once it is more likely than not, and again once it no longer is.
     constexpr double loggedProbability = 0.5;
     constexpr std::chrono::seconds rejectionLogInterval { 1 };
@@ -25,9 +39,10 @@
 
 } // namespace internal
 
-PlacementCoordinator::PlacementCoordinator(const ServerRegistry& registry, const GatewayBounds& bounds, const Clock& clock, std::uint64_t firstPlacementId)
+PlacementCoordinator::PlacementCoordinator(const ServerRegistry& registry, const GatewayBounds& bounds, EventLoop& loop, const Clock& clock, std::uint64_t firstPlacementId)
     : m_registry(registry)
     , m_bounds(bounds)
+    , m_loop(loop)
     , m_clock(clock)
     , m_nextPlacementId(firstPlacementId)
 {
@@ -51,6 +66,15 @@
         ++m_serviceSizes[entry.registration.service];
         ++m_zoneSizes[{ entry.registration.service, entry.registration.zone }];
     }
+    for (auto& [cell, queue] : m_queues) {
+        if (queue.held.empty())
+            continue;
+        if (serversIn(cell).empty())
+            answerAll(queue, std::nullopt);
+        else
+            serveWaiting(cell, queue);
+    }
+    std::erase_if(m_queues, [this](const auto& entry) { return entry.second.held.empty() && entry.first.count != currentCellCount(entry.first.service, entry.first.zone); });
 }
 
 const std::vector<TrackedServer*>& PlacementCoordinator::serversIn(const PlacementCell& cell)
@@ -74,22 +98,22 @@
     return cellRetryBudgetParameters(m_bounds, std::min(1.0, static_cast<double>(cellServers) / serviceServers));
 }
 
-void PlacementCoordinator::depositRetries(const RegisteredServer& server)
+std::uint32_t PlacementCoordinator::currentCellCount(const ServiceId& service, const ZoneId& zone) const
 {
-    const auto size = m_zoneSizes.find({ server.service, server.zone });
-    const std::uint32_t count = cellCount(size == m_zoneSizes.end() ? 0 : size->second);
-    const PlacementCell cell { server.service, server.zone, cellIndex(server.id, count), count };
-    deposit(m_retryBudgets[cell], retryBudgetParameters(cell.service, serversIn(cell).size()), m_clock.now());
+    const auto size = m_zoneSizes.find({ service, zone });
+    return cellCount(size == m_zoneSizes.end() ? 0 : size->second);
 }
 
-std::chrono::milliseconds PlacementCoordinator::retryAfter(std::span<TrackedServer* const> servers, const PlacementDemand& demand) const
+PlacementCell PlacementCoordinator::cellOf(const RegisteredServer& server) const
 {
-    const MonotonicTime now = m_clock.now();
-    double minExcess = 1;
-    for (const TrackedServer* server : servers)
-        minExcess = std::min(minExcess, std::max(0.0, (estimatedLoad(*server, now) + 1) / server->registration.slots.value - demand.maxLoadPerSlot));
-    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(demand.latencyObjective * (internal::retryObjectiveShare + minExcess) / 2);
-    return std::clamp(delay, internal::minRetryAfter, internal::maxRetryAfter);
+    const std::uint32_t count = currentCellCount(server.service, server.zone);
+    return { server.service, server.zone, cellIndex(server.id, count), count };
+}
+
+void PlacementCoordinator::depositRetries(const RegisteredServer& server)
+{
+    const PlacementCell cell = cellOf(server);
+    deposit(m_retryBudgets[cell], retryBudgetParameters(cell.service, serversIn(cell).size()), m_clock.now());
 }
 
 // Tells what is believed of the cell from what its servers report, at most once a second.
@@ -117,41 +141,225 @@
             .with("left_ms", static_cast<long long>(demand.timeToDeadline.count())));
 }
 
-std::optional<PlacementDecision> PlacementCoordinator::place(const PlacementCell& cell, const PlacementDemand& demand)
+void PlacementCoordinator::place(const PlacementCell& cell, const PlacementDemand& demand, DecisionCallback callback)
 {
-    const std::vector<TrackedServer*>& servers = serversIn(cell);
-    if (servers.empty())
-        return std::nullopt;
+    if (serversIn(cell).empty())
+        return callback(std::nullopt);
     const MonotonicTime now = m_clock.now();
     const std::uint64_t placementId = demand.placementId != 0 ? demand.placementId : m_nextPlacementId++;
-    // The caller has cancelled it meanwhile.
-    if (wasRecorded(m_endedPlacements, placementId))
-        return PlacementDecision { std::nullopt, placementId, 0, internal::minRetryAfter, false, false };
+    PlacementQueue& queue = m_queues[cell];
+    // The caller has cancelled it meanwhile, or the demand was received before.
+    if (wasRecorded(m_endedPlacements, placementId) || queue.held.contains(placementId))
+        return callback(PlacementDecision { std::nullopt, placementId, 0, internal::cancelledRetryAfter, false, false });
+    const auto work = std::chrono::duration_cast<Duration>(expectedProcessingTime(m_processingTimes[cell.service], demand));
+    const WaitingRequest request = makeWaitingRequest(demand, placementId, work, now);
+    PlacementDecision decision;
+    if (isFirst(queue.order, request))
+        decision = tryPlace(cell, demand, placementId);
+    else
+        decision.shouldWait = canDefer(cell.service, demand, internal::fullLoadPerSlot);
+    if (decision.server)
+        recordPlaced(queue.order, demand.priority, now);
+    if (decision.server || decision.retryBudgetExhausted)
+        return callback(decision);
+    holdOrRefuse(cell, queue, demand, request, decision.shouldWait, std::move(callback));
+}
+
+bool PlacementCoordinator::canDefer(const ServiceId& service, const PlacementDemand& demand, double loadPerSlot)
+{
+    return demand.age < demand.latencyObjective / internal::maxDeferralDivisor && shouldWaitForSlot(demand, m_processingTimes[service], loadPerSlot);
+}
+
+// \returns a decision without a server if none has room; with shouldWait if the request should leave the last slots to others.
+PlacementDecision PlacementCoordinator::tryPlace(const PlacementCell& cell, const PlacementDemand& demand, std::uint64_t placementId)
+{
+    const std::vector<TrackedServer*>& servers = serversIn(cell);
+    const MonotonicTime now = m_clock.now();
     const RetryBudgetParameters parameters = retryBudgetParameters(cell.service, servers.size());
     CellRetryBudget& retryBudget = m_retryBudgets[cell];
     PlacementDemand budgetedDemand = demand;
+    budgetedDemand.outcomeDelay = internal::outcomeDelay;
     budgetedDemand.canRetry = demand.canRetry && hasReserve(retryBudget, parameters, now);
     const ProcessingTimes& processingTimes = m_processingTimes[cell.service];
     // Hashes of successive ids are spread well enough to break ties.
     const double random = static_cast<double>(stableHash(std::to_string(placementId)) >> 11) * 0x1.0p-53;
     const auto chosen = chooseServer(servers, budgetedDemand, processingTimes, now, random);
-    if (!chosen) {
-        logRejection(cell, servers, demand);
-        return PlacementDecision { std::nullopt, 0, 0, retryAfter(servers, demand), false, false };
-    }
-    if (shouldWaitForSlot(demand, processingTimes, chosen->loadPerSlot))
-        return PlacementDecision { std::nullopt, 0, 0, internal::waitInterval, false, true };
+    if (!chosen)
+        return {};
+    if (canDefer(cell.service, demand, chosen->loadPerSlot))
+        return { std::nullopt, 0, 0, {}, false, true };
     if (demand.isRetry && !tryWithdraw(retryBudget, parameters, now))
-        return PlacementDecision { std::nullopt, 0, 0, {}, true, false };
+        return { std::nullopt, 0, 0, {}, true, false };
     TrackedServer& server = *servers[chosen->serverIndex];
     lacewingsail::addPlacement(server, budgetedDemand, placementId, now);
-    return PlacementDecision { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
+    return { server.registration.id, placementId, chosen->expectedLoss, {}, false, false };
+}
+
+void PlacementCoordinator::holdOrRefuse(const PlacementCell& cell, PlacementQueue& queue, const PlacementDemand& demand, const WaitingRequest& request, bool deferred, DecisionCallback callback)
+{
+    const MonotonicTime now = m_clock.now();
+    const CellCapacity capacity = cellCapacity(serversIn(cell), demand, now);
+    if (!deferred && !isWorthWaiting(queue.order, request, capacity, now)) {
+        recordRefused(queue.order, request.priority, now);
+        ++queue.refused;
+        logRejection(cell, serversIn(cell), demand);
+        logQueue(cell, queue);
+        return callback(PlacementDecision { std::nullopt, 0, 0, timeToRoom(queue.order, request, capacity), false, false });
+    }
+    if (!m_holds)
+        return callback(PlacementDecision { std::nullopt, 0, 0, internal::askAgainAfter, false, true });
+    const auto shareOfObjective = std::max(internal::minHold, demand.latencyObjective / internal::maxHoldDivisor);
+    const auto hold = deferred || demand.latencyObjective.count() == 0 ? internal::maxHold : std::min(internal::maxHold, shareOfObjective);
+    HeldPlacement& held = queue.held[request.placementId];
+    held = { demand, request, now, deferred ? now + hold : std::min(now + hold, request.startBy), std::move(callback) };
+    held.demand.placementId = request.placementId;
+    if (deferred)
+        addDeferred(queue.order, request);
+    else
+        addWaiting(queue.order, request);
+    refuseUnreachable(cell, queue);
+    scheduleTick();
+}
+
+void PlacementCoordinator::answer(PlacementQueue& queue, std::uint64_t placementId, const std::optional<PlacementDecision>& decision)
+{
+    const auto held = queue.held.extract(placementId);
+    if (held.empty())
+        return;
+    removeWaiting(queue.order, held.mapped().request);
+    held.mapped().callback(decision);
+}
+
+void PlacementCoordinator::answerAll(PlacementQueue& queue, const std::optional<PlacementDecision>& decision)
+{
+    while (!queue.held.empty())
+        answer(queue, queue.held.begin()->first, decision);
+}
+
+// A higher-ranked demand may have taken the room that others were expected to get.
+void PlacementCoordinator::refuseUnreachable(const PlacementCell& cell, PlacementQueue& queue)
+{
+    const MonotonicTime now = m_clock.now();
+    const CellCapacity capacity = cellCapacity(serversIn(cell), {}, now);
+    for (const WaitingRequest& request : takeUnreachable(queue.order, capacity, now)) {
+        recordRefused(queue.order, request.priority, now);
+        ++queue.refused;
+        answer(queue, request.placementId, PlacementDecision { std::nullopt, 0, 0, timeToRoom(queue.order, request, capacity), false, false });
+        logQueue(cell, queue);
+    }
+}
+
+// \returns whether one was answered.
+bool PlacementCoordinator::serveOneOf(const PlacementCell& cell, PlacementQueue& queue, std::span<const WaitingRequest> requests)
+{
+    const MonotonicTime now = m_clock.now();
+    for (const WaitingRequest& request : requests) {
+        const HeldPlacement& held = queue.held.at(request.placementId);
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - held.heldSince);
+        PlacementDemand demand = held.demand;
+        demand.age += waited;
+        demand.timeToDeadline -= waited;
+        const PlacementDecision decision = tryPlace(cell, demand, request.placementId);
+        if (decision.server || decision.retryBudgetExhausted) {
+            if (decision.server) {
+                recordPlaced(queue.order, request.priority, now);
+                ++queue.placed;
+            }
+            answer(queue, request.placementId, decision);
+            return true;
+        }
+        // Others find no room either.
+        if (demand.excludedServers.empty())
+            return false;
+    }
+    return false;
+}
+
+void PlacementCoordinator::serveWaiting(const PlacementCell& cell, PlacementQueue& queue)
+{
+    while (!queue.held.empty()) {
+        const std::vector<WaitingRequest> next = nextWaiting(queue.order, internal::maxTriedForSlot);
+        const std::vector<WaitingRequest>& candidates = next.empty() ? queue.order.deferred : next;
+        if (!serveOneOf(cell, queue, std::span(candidates).first(std::min(candidates.size(), internal::maxTriedForSlot))))
+            return;
+    }
+}
+
+void PlacementCoordinator::returnExpired(PlacementQueue& queue)
+{
+    const MonotonicTime now = m_clock.now();
+    std::vector<std::uint64_t> expired;
+    for (const auto& [placementId, held] : queue.held) {
+        if (now >= held.heldUntil)
+            expired.push_back(placementId);
+    }
+    for (const std::uint64_t placementId : expired)
+        answer(queue, placementId, PlacementDecision { std::nullopt, 0, 0, {}, false, true });
+}
+
+void PlacementCoordinator::scheduleTick()
+{
+    if (std::exchange(m_tickScheduled, true))
+        return;
+    m_loop.after(internal::tickInterval, [this] { tick(); });
+}
+
+void PlacementCoordinator::tick()
+{
+    m_tickScheduled = false;
+    bool waiting = false;
+    for (auto& [cell, queue] : m_queues) {
+        if (queue.held.empty())
+            continue;
+        serveWaiting(cell, queue);
+        refuseUnreachable(cell, queue);
+        returnExpired(queue);
+        waiting = waiting || !queue.held.empty();
+    }
+    if (waiting)
+        scheduleTick();
+}
+
+void PlacementCoordinator::stopHolding()
+{
+    m_holds = false;
+    for (auto& [cell, queue] : m_queues) {
+        answerAll(queue, PlacementDecision { std::nullopt, 0, 0, internal::askAgainAfter, false, true });
+    }
+}
+
+std::size_t PlacementCoordinator::waitingDemands() const
+{
+    std::size_t count = 0;
+    for (const auto& [cell, queue] : m_queues)
+        count += queue.held.size();
+    return count;
+}
+
+// At most once a second.
+void PlacementCoordinator::logQueue(const PlacementCell& cell, PlacementQueue& queue)
+{
+    const MonotonicTime now = m_clock.now();
+    if (queue.loggedAt != MonotonicTime {} && now - queue.loggedAt < internal::queueLogInterval)
+        return;
+    queue.loggedAt = now;
+    Event event("placement-queue");
+    event.with("service", cell.service).with("zone", cell.zone).with("cell", static_cast<long long>(cell.index));
+    event.with("waiting", static_cast<long long>(waitingCount(queue.order))).with("deferred", static_cast<long long>(queue.order.deferred.size()));
+    event.with("placed", std::exchange(queue.placed, 0)).with("refused", std::exchange(queue.refused, 0));
+    for (const AdmissionRank& rank : queue.order.ranks) {
+        const std::string name = "rank_" + std::to_string(rank.priority.value);
+        event.with(name + "_waiting", static_cast<long long>(rank.waiting.size())).with(name + "_placed", static_cast<long long>(rank.placed)).with(name + "_refused", static_cast<long long>(rank.refused));
+    }
+    log(event);
 }
 
 void PlacementCoordinator::cancelPlacement(std::uint64_t placementId)
 {
     for (auto& [id, tracked] : m_servers)
         std::erase_if(tracked.inFlightPlacements, [placementId](const InFlightPlacement& placement) { return placement.id == placementId; });
+    for (auto& [cell, queue] : m_queues)
+        answer(queue, placementId, PlacementDecision { std::nullopt, placementId, 0, internal::cancelledRetryAfter, false, false });
 }
 
 void PlacementCoordinator::recordOutcome(TrackedServer& server, const PlacementOutcome& outcome)
@@ -177,8 +385,14 @@
             continue;
         }
         const auto found = m_servers.find(outcome.server);
-        if (found != m_servers.end())
-            recordOutcome(found->second, outcome);
+        if (found == m_servers.end())
+            continue;
+        recordOutcome(found->second, outcome);
+        if (!m_tickScheduled)
+            continue;
+        const auto queue = m_queues.find(cellOf(found->second.registration));
+        if (queue != m_queues.end())
+            serveWaiting(queue->first, queue->second);
     }
 }
 
--- a/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/CallerConnection.cpp
@@ -454,6 +454,8 @@
         if (pending->response || !request.route || !request.route->repeatable)
             continue;
         request.cancelled = true;
+        if (request.cancelPlacement)
+            request.cancelPlacement();
         if (request.cancelAttempt)
             request.cancelAttempt();
     }
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -106,7 +106,7 @@
     FleetDirectory directory { LiveHost { settings.id, settings.zone, settings.peers, settings.processorShare }, clock.now() };
     StatsAggregator stats { settings.id, settings.zone };
     AccountRateLimiter tokens { directory, active, settings.bounds, clock, random };
-    PlacementCoordinator placementCoordinator { registry, settings.bounds, clock, random() };
+    PlacementCoordinator placementCoordinator { registry, settings.bounds, loop, clock, random() };
     PlacementClient placement { directory, placementCoordinator, loop, clock, random() };
     FleetExchange exchange { FleetExchangeParts { clock, directory, active, registry, follower, stats, settings.linkMegabitsPerSecond, settings.seeds, [this] { return backends.localStats(); }, [this] { stateChanged(); } } };
     internal::MessageBuffers requestBuffers { internal::MessageBuffers::maxRequestBytes };
@@ -174,7 +174,7 @@
     GatewayCalls::Handlers handlers;
     handlers.exchange = [this](const protocol::ExchangeRequest& request, protocol::ExchangeReply& reply) { exchange.handleRequest(request, reply); };
     handlers.grantTokens = [this](const TokenDemand& demand) { return tokens.grant(demand); };
-    handlers.place = [this](const PlacementCell& cell, const PlacementDemand& demand) { return placementCoordinator.place(cell, demand); };
+    handlers.place = [this](const PlacementCell& cell, const PlacementDemand& demand, DecisionCallback callback) { placementCoordinator.place(cell, demand, std::move(callback)); };
     handlers.recordOutcomes = [this](std::span<const PlacementOutcome> outcomes) { placementCoordinator.recordOutcomes(outcomes); };
     calls = std::make_unique<GatewayCalls>(loop, settings.peers, std::move(handlers), error);
     if (error) {
@@ -521,6 +521,7 @@
     connections.plannedStop = PlannedStop { clock.now(), settings.bounds.stopGrace };
     ready = false;
     directory.setLeaving();
+    placementCoordinator.stopHolding();
     exchange.tick();
     checkDrained();
 }
--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -49,6 +49,13 @@
         return minDelay + std::chrono::milliseconds(spread(services.random));
     }
 
+    // For a time that follows from the requests that wait: the callers that were refused spread over as much again.
+    std::chrono::milliseconds spreadDelay(RequestServices& services, std::chrono::milliseconds minDelay)
+    {
+        std::uniform_int_distribution<std::int64_t> spread(0, minDelay.count());
+        return minDelay + std::chrono::milliseconds(spread(services.random));
+    }
+
     RequestResult failRequest(RequestServices& services, const RequestState& request, ResultCode code, std::chrono::milliseconds retryAfter = {})
     {
         const auto elapsedMs = std::chrono::duration_cast<std::chrono::milliseconds>(services.clock.now() - request.arrivedAt).count();
@@ -191,10 +198,11 @@
         std::chrono::milliseconds retryAfter { 0 };
         /// The request needs a retry, and the retry budget of the service is exhausted.
         bool retryBudgetExhausted = false;
-        /// The request has time to wait for a slot and should ask again after \ref retryAfter.
+        /// The request has time to wait for a slot and should ask again after \ref waitTime.
         bool shouldWait = false;
         /// A coordinator has chosen a server that this host does not know, or knows to have left.
         bool offeredUnknownServer = false;
+        std::chrono::milliseconds waitTime { 0 };
     };
 
     PlacementDemand makePlacementDemand(const RequestServices& services, const RequestState& request)
@@ -222,13 +230,16 @@
         return demand;
     }
 
-    net::awaitable<std::optional<PlacementResponse>> askCoordinator(RequestServices& services, PlacementCell cell, PlacementDemand demand)
+    // A caller that leaves meanwhile gives up the request's place in the queue.
+    net::awaitable<std::optional<PlacementResponse>> askCoordinator(RequestServices& services, std::shared_ptr<RequestState> request, PlacementCell cell, PlacementDemand demand)
     {
-        const auto initiate = [&services, &cell, &demand](auto handler) {
+        const auto initiate = [&services, &request, &cell, &demand](auto handler) {
             auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-            services.placement.place(cell, demand, [&services, shared](std::optional<PlacementResponse> reply) {
+            const auto ticket = services.placement.place(cell, demand, [&services, shared](std::optional<PlacementResponse> reply) {
                 net::post(services.context, [shared, reply = std::move(reply)]() mutable { std::move (*shared)(std::move(reply)); });
             });
+            if (ticket && !request->cancelAttempt)
+                request->cancelPlacement = [&services, ticket = *ticket] { services.placement.cancel(ticket); };
         };
         co_return co_await net::async_initiate<const net::use_awaitable_t<>, void(std::optional<PlacementResponse>)>(initiate, net::use_awaitable);
     }
@@ -254,13 +265,16 @@
     // Keeps the placement with the lower expected loss and cancels the other one.
     void keepBetterOffer(RequestServices& services, ServerChoice& choice, const PlacementResponse& reply)
     {
-        choice.retryAfter = std::max(choice.retryAfter, reply.retryAfter);
         choice.retryBudgetExhausted = choice.retryBudgetExhausted || reply.retryBudgetExhausted;
         choice.shouldWait = choice.shouldWait || reply.shouldWait;
+        if (reply.shouldWait)
+            choice.waitTime = std::max(choice.waitTime, reply.retryAfter);
+        else if (reply.retryAfter.count() > 0)
+            choice.retryAfter = choice.retryAfter.count() > 0 ? std::min(choice.retryAfter, reply.retryAfter) : reply.retryAfter;
         if (!reply.reservation)
             return;
         choice.offeredUnknownServer = choice.offeredUnknownServer || !services.backends.find(reply.reservation->server);
-        ServerChoice offer { services.backends.find(reply.reservation->server), reply.reservation, reply.expectedLoss, choice.retryAfter, false, false, choice.offeredUnknownServer };
+        ServerChoice offer { services.backends.find(reply.reservation->server), reply.reservation, reply.expectedLoss, choice.retryAfter, false, false, choice.offeredUnknownServer, {} };
         if (!offer.server || (choice.server && choice.expectedLoss <= offer.expectedLoss))
             return cancelReservation(services, offer);
         cancelReservation(services, choice);
@@ -287,11 +301,12 @@
         ServerChoice choice;
         bool answered = false;
         for (int asked = 0; zone && asked < maxZonesAsked; ++asked) {
-            const auto reply = co_await askCoordinator(services, randomCell(services, request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
+            const auto reply = co_await askCoordinator(services, request, randomCell(services, request->service, capacities[*zone], services.random()), makePlacementDemand(services, *request));
+            request->cancelPlacement = nullptr;
             answered = answered || reply;
             if (reply)
                 keepBetterOffer(services, choice, *reply);
-            if (choice.server && choice.expectedLoss <= acceptableLoss)
+            if (request->cancelled || (choice.server && choice.expectedLoss <= acceptableLoss))
                 break;
             capacities.erase(capacities.begin() + static_cast<std::ptrdiff_t>(*zone));
             zone = leastLoadedZone(capacities, capacities.size());
@@ -372,7 +387,9 @@
             lastCode = ResultCode::NoBackendServer;
         // A server that had capacity but refused the request may accept it a moment later.
         const bool refused = lastCode == ResultCode::Overloaded && !request.attemptedServers.empty();
-        return failRequest(services, request, lastCode, refused ? jitteredDelay(services, refusedRetryDelay) : jitteredDelay(services, std::max(retryAfter, minRetryDelay)));
+        if (refused)
+            return failRequest(services, request, lastCode, jitteredDelay(services, refusedRetryDelay));
+        return failRequest(services, request, lastCode, retryAfter.count() > 0 ? spreadDelay(services, retryAfter) : jitteredDelay(services, minRetryDelay));
     }
 
     net::awaitable<void> sleepFor(RequestServices& services, Duration time)
@@ -394,7 +411,7 @@
             retryAfter = choice.retryAfter;
             if (!choice.server && choice.shouldWait && !request->cancelled) {
                 --tries;
-                co_await sleepFor(services, choice.retryAfter);
+                co_await sleepFor(services, choice.waitTime);
                 continue;
             }
             if (!choice.server) {
@@ -448,6 +465,8 @@
 RequestResult endRequest(RequestServices& services, RequestState& request)
 {
     request.cancelled = true;
+    if (request.cancelPlacement)
+        request.cancelPlacement();
     if (request.cancelAttempt)
         request.cancelAttempt();
     if (request.possibleExecutions > 0)
--- a/packages/gateway/lacewingsail/src/Gateway/RequestState.h
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestState.h
@@ -63,6 +63,8 @@
     bool cancelled = false;
     /// Cancels the current attempt; empty if there is none.
     std::function<void()> cancelAttempt;
+    /// Gives up its place in a coordinator's queue; empty if it has none.
+    std::function<void()> cancelPlacement;
 };
 
 /// \brief Result code and response of a request.
--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -9,6 +9,7 @@
 
 #include "src/Policy/AccountTokenBucket.h"
 #include "src/Policy/Admission.h"
+#include "src/Policy/AdmissionQueue.h"
 #include "src/Policy/Attempt.h"
 #include "src/Policy/BookingClaims.h"
 #include "src/Policy/BookingFold.h"
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.cpp
@@ -61,6 +61,8 @@
     // Random variation of the loss, so that equal servers share the requests.
     constexpr double tieBreakShare = 0.05;
     constexpr std::chrono::milliseconds expiryMargin { 200 };
+    // Bounds the requests that wait at a server, per slot, however short they are.
+    constexpr double maxWaitingPerSlot = 0.5;
     // Callers repeat an outcome that was not acknowledged for less than this.
     constexpr std::chrono::seconds recentPlacementsPeriod { 10 };
 
@@ -113,6 +115,16 @@
         return (demand.canRetry ? retryableFailureLoss : 1) * expectedFailureRate(probability) + std::min(lossAtObjective * lateness * lateness, maxLatencyLoss);
     }
 
+    // A server works on while the outcomes of its last requests are on their way.
+    double maxLoad(const TrackedServer& server, const PlacementDemand& demand, Seconds usualTime)
+    {
+        const double slots = server.registration.slots.value;
+        if (demand.outcomeDelay.count() == 0)
+            return demand.maxLoadPerSlot * slots;
+        const double waiting = std::clamp(slots * (demand.outcomeDelay / usualTime), 1.0, std::max(1.0, slots * maxWaitingPerSlot));
+        return std::min(demand.maxLoadPerSlot * slots, slots + waiting);
+    }
+
     bool canAvoidSuspected(std::span<TrackedServer* const> servers, MonotonicTime now)
     {
         const auto count = std::ranges::count_if(servers, [now](const TrackedServer* server) { return grayFailureProbability(server->failureEstimate, now) >= avoidedProbability; });
@@ -193,7 +205,7 @@
             continue;
         const double load = estimatedLoad(server, now);
         const internal::Seconds timeAtUsualSpeed = usualTime * internal::congestionFactor(server, load);
-        if (load + 1 > demand.maxLoadPerSlot * server.registration.slots.value || timeAtUsualSpeed >= demand.timeToDeadline)
+        if (load + 1 > internal::maxLoad(server, demand, usualTime) || timeAtUsualSpeed >= demand.timeToDeadline)
             continue;
         const internal::Seconds time = timeAtUsualSpeed * internal::currentLatencyRatio(server, processingTimes, now);
         const double probability = grayFailureProbability(server.failureEstimate, now);
@@ -216,6 +228,8 @@
     return best;
 }
 
+std::chrono::duration<double> expectedProcessingTime(const ProcessingTimes& processingTimes, const PlacementDemand& demand) { return internal::processingTime(processingTimes, demand.latencyObjective); }
+
 bool shouldWaitForSlot(const PlacementDemand& demand, const ProcessingTimes& processingTimes, double loadPerSlot)
 {
     const internal::Seconds slack = demand.latencyObjective - demand.age - internal::processingTimeMargin * internal::processingTime(processingTimes, demand.latencyObjective);
--- a/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
+++ b/packages/policy/lacewingsail/src/Policy/CoordinatedPlacement.h
@@ -76,6 +76,9 @@
     std::chrono::milliseconds age { 0 };
     /// Maximum number of requests per slot at a server, including queued ones.
     double maxLoadPerSlot = 2;
+    /// If others wait for slots in order: time from the end of a request until its outcome is known. As many requests wait at a server
+    /// as keep its slots busy for that time. Zero if they wait at the servers.
+    std::chrono::milliseconds outcomeDelay { 0 };
     /// Whether a failed attempt can be retried, so that the request may be sent to a suspected server.
     bool canRetry = false;
     /// Whether it has been sent to another server before, so that this attempt is charged to the retry budget.
@@ -154,11 +157,16 @@
 /// Servers with a probable gray failure get only requests that can be retried, about one per second, until they
 /// succeed, unless most of the servers seem to fail. Every server gets a request per second if there are enough requests, since a
 /// server without recent outcomes cannot be told from a failing or a slow one.
+/// Few requests wait at a server, just as many as keep its slots busy until the outcomes of those that have ended arrive: the
+/// others wait at the coordinator, in order.
 /// Linear in the number of servers and of their in-flight placements; allocates nothing.
 /// \param random uniformly distributed in [0, 1); breaks ties.
 /// \returns nothing if no server has capacity left or could answer in time.
 std::optional<PlacementChoice> chooseServer(std::span<TrackedServer* const> servers, const PlacementDemand&, const ProcessingTimes&, MonotonicTime now, double random);
 
+/// \returns the expected processing time of the request, without queueing.
+std::chrono::duration<double> expectedProcessingTime(const ProcessingTimes&, const PlacementDemand&);
+
 /// \returns whether the request should wait for a free slot rather than be sent to a server with \p loadPerSlot requests per
 /// slot.
 ///
--- a/tests/GatewayCallsTest.cpp
+++ b/tests/GatewayCallsTest.cpp
@@ -59,7 +59,7 @@
 
 struct GatewayCallsFixture {
     GatewayCalls::Handlers handlers { [](const protocol::ExchangeRequest&, protocol::ExchangeReply&) {}, [](const TokenDemand&) { return std::optional<TokenGrant>(); },
-        [](const PlacementCell&, const PlacementDemand&) { return std::optional<PlacementDecision>(); }, [](std::span<const PlacementOutcome>) {} };
+        [](const PlacementCell&, const PlacementDemand&, const DecisionCallback& callback) { callback(std::nullopt); }, [](std::span<const PlacementOutcome>) {} };
     HeldLoop callerLoop;
     HeldLoop calledLoop;
     Endpoint calledEndpoint { "127.0.0.1", freePort() };
--- a/tests/PlacementCoordinatorTest.cpp
+++ b/tests/PlacementCoordinatorTest.cpp
@@ -28,13 +28,14 @@
     ManualClock clock;
     GatewayBounds bounds;
     ServerRegistry registry;
-    PlacementCoordinator coordinator { registry, bounds, clock, 100 };
     ManualEventLoop loop;
+    PlacementCoordinator coordinator { registry, bounds, loop, clock, 100 };
     FleetDirectory directory { LiveHost { HostId("self"), ZoneId("a"), { "10.0.0.1", 80 } } };
     PlacementClient client { directory, coordinator, loop, clock, 1000 };
     PlacementCell cell { ServiceId("desk"), ZoneId("a"), 0, 1 };
     PlacementDemand demand;
     std::uint64_t offset = 1;
+    std::uint64_t nextId = 100000;
 
     PlacementCoordinatorFixture()
     {
@@ -60,16 +61,45 @@
         coordinator.update();
     }
 
+    /// Does not wait for a free slot.
     std::optional<PlacementReservation> place()
     {
         std::optional<PlacementReservation> reservation;
-        client.place(cell, demand, [&](std::optional<PlacementResponse> response) {
+        bool answered = false;
+        const auto ticket = client.place(cell, demand, [&](std::optional<PlacementResponse> response) {
             REQUIRE(response);
             reservation = response->reservation;
+            answered = true;
         });
+        REQUIRE(ticket);
+        if (!answered)
+            client.cancel(*ticket);
+        CHECK(answered);
         return reservation;
     }
 
+    /// Asks \p asked, without waiting for a free slot.
+    std::optional<PlacementDecision> decide(PlacementCoordinator& asked, PlacementDemand numbered)
+    {
+        std::optional<PlacementDecision> decision;
+        bool answered = false;
+        if (numbered.placementId == 0)
+            numbered.placementId = nextId++;
+        asked.place(cell, numbered, [&](const std::optional<PlacementDecision>& answer) {
+            decision = answer;
+            answered = true;
+        });
+        if (!answered) {
+            const PlacementOutcome cancellation { BackendServerId(), numbered.placementId, PlacementStatus::Cancelled, {}, std::nullopt };
+            asked.recordOutcomes(std::span(&cancellation, 1));
+        }
+        CHECK(answered);
+        return decision;
+    }
+
+    std::optional<PlacementDecision> decide(PlacementCoordinator& asked) { return decide(asked, demand); }
+    std::optional<PlacementDecision> decide() { return decide(coordinator); }
+
     void finish(const PlacementReservation& reservation, PlacementStatus status)
     {
         PlacementOutcome outcome;
@@ -85,9 +115,9 @@
 {
     addServer("far", "b");
     addServer("draining", "a", 1s, true);
-    CHECK_FALSE(coordinator.place(cell, demand));
+    CHECK_FALSE(decide());
     addServer("near", "a");
-    const auto decision = coordinator.place(cell, demand);
+    const auto decision = decide();
     REQUIRE(decision);
     CHECK(decision->server == BackendServerId("near"));
 }
@@ -108,8 +138,9 @@
 {
     addServer("i-1", "a");
     while (place()) { }
-    const auto decision = coordinator.place(cell, demand);
-    REQUIRE(decision);
+    std::optional<PlacementDecision> decision;
+    while (!decision)
+        coordinator.place(cell, demand, [&](const std::optional<PlacementDecision>& answer) { decision = answer; });
     CHECK_FALSE(decision->server);
     CHECK(decision->retryAfter >= 100ms);
     CHECK(decision->retryAfter <= 1s);
@@ -131,7 +162,7 @@
     registry.apply({ reservation->server, { {}, LogOffset { offset++ } }, std::nullopt, std::nullopt }, StoreHealth::Healthy, clock.now());
     coordinator.update();
     finish(*reservation, PlacementStatus::Failed);
-    CHECK_FALSE(coordinator.place(cell, demand));
+    CHECK_FALSE(decide());
 }
 
 TEST_CASE_FIXTURE(PlacementCoordinatorFixture, "place, retry, is charged to the service's retry budget")
@@ -139,7 +170,7 @@
     addServer("i-1", "a");
     addServer("i-2", "a");
     demand.isRetry = true;
-    const auto first = coordinator.place(cell, demand);
+    const auto first = decide();
     REQUIRE(first);
     CHECK(first->retryBudgetExhausted);
     demand.isRetry = false;
@@ -151,7 +182,7 @@
     }
     demand.isRetry = true;
     int retries = 0;
-    while (const auto decision = coordinator.place(cell, demand)) {
+    while (const auto decision = decide()) {
         if (decision->retryBudgetExhausted)
             break;
         PlacementOutcome outcome { *decision->server, decision->placementId, PlacementStatus::Succeeded, 300ms, std::nullopt };
@@ -172,7 +203,7 @@
         finish(*reservation, PlacementStatus::Cancelled);
     }
     demand.isRetry = true;
-    const auto decision = coordinator.place(cell, demand);
+    const auto decision = decide();
     REQUIRE(decision);
     CHECK(decision->retryBudgetExhausted);
 }
@@ -206,9 +237,12 @@
     {
         if (!losesRequests)
             m_coordinator.recordOutcomes(outcomes);
-        const auto decision = losesRequests ? std::nullopt : m_coordinator.place(cell, demand);
         lastDemand = demand;
-        callback(losesRequests || losesReplies ? PlaceCallResult {} : PlaceCallResult { true, decision });
+        if (losesRequests)
+            return callback({});
+        m_coordinator.place(cell, demand, [this, callback](const std::optional<PlacementDecision>& decision) {
+            callback(losesReplies ? PlaceCallResult {} : PlaceCallResult { true, decision });
+        });
     }
 
     void reportOutcomes(const Endpoint&, const std::vector<PlacementOutcome>& outcomes, DeliveryCallback callback) override
@@ -227,7 +261,7 @@
 };
 
 struct RemoteCoordinatorFixture : PlacementCoordinatorFixture {
-    PlacementCoordinator remote { registry, bounds, clock, 5000 };
+    PlacementCoordinator remote { registry, bounds, loop, clock, 5000 };
     LossyCalls calls { remote };
 
     RemoteCoordinatorFixture()
@@ -243,7 +277,7 @@
     int freeCapacity()
     {
         std::vector<PlacementOutcome> placed;
-        while (const auto decision = remote.place(cell, demand)) {
+        while (const auto decision = decide(remote)) {
             if (!decision->server)
                 break;
             placed.push_back({ *decision->server, decision->placementId, PlacementStatus::Cancelled, {}, std::nullopt });
@@ -311,11 +345,11 @@
         finish(*reservation, request == 0 ? PlacementStatus::Succeeded : PlacementStatus::Failed);
         loop.runDelayed();
     }
-    const double lossBefore = remote.place(cell, demand)->expectedLoss;
+    const double lossBefore = decide(remote)->expectedLoss;
     clock.advance(250ms);
     loop.runDelayed();
     loop.runDelayed();
-    CHECK(remote.place(cell, demand)->expectedLoss <= lossBefore);
+    CHECK(decide(remote)->expectedLoss <= lossBefore);
 }
 
 TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "place, arrives after its cancellation, places nothing")
@@ -325,7 +359,7 @@
     placeWithoutReply();
     calls.losesRequests = false;
     loop.runDelayed();
-    const auto decision = remote.place(cell, calls.lastDemand);
+    const auto decision = decide(remote, calls.lastDemand);
     REQUIRE(decision);
     CHECK_FALSE(decision->server);
     CHECK(freeCapacity() == capacity);
