Metrics of the placement queue; a service whose servers all seem to fail still holds requests

Operators could not see who waits and how long. Capacity left out suspected servers, so that a service that refused a part of its requests at all servers would have held none.

Tests of placement, queue and calls between hosts pass.

--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.cpp
@@ -201,6 +201,7 @@
     const CellCapacity capacity = cellCapacity(serversIn(cell), demand, now);
     if (!deferred && !isWorthWaiting(queue.order, request, capacity, now)) {
         recordRefused(queue.order, request.priority, now);
+        count("placements_refused_total", request.priority);
         ++queue.refused;
         logRejection(cell, serversIn(cell), demand);
         logQueue(cell, queue);
@@ -213,6 +214,7 @@
     HeldPlacement& held = queue.held[request.placementId];
     held = { demand, request, now, deferred ? now + hold : std::min(now + hold, request.startBy), std::move(callback) };
     held.demand.placementId = request.placementId;
+    count("placements_held_total", request.priority);
     if (deferred)
         addDeferred(queue.order, request);
     else
@@ -243,6 +245,7 @@
     const CellCapacity capacity = cellCapacity(serversIn(cell), {}, now);
     for (const WaitingRequest& request : takeUnreachable(queue.order, capacity, now)) {
         recordRefused(queue.order, request.priority, now);
+        count("placements_refused_total", request.priority);
         ++queue.refused;
         answer(queue, request.placementId, PlacementDecision { std::nullopt, 0, 0, timeToRoom(queue.order, request, capacity), false, false });
         logQueue(cell, queue);
@@ -264,6 +267,9 @@
             if (decision.server) {
                 recordPlaced(queue.order, request.priority, now);
                 ++queue.placed;
+                count("placements_after_wait_total", request.priority);
+                if (m_metrics)
+                    m_metrics->latency("placement_wait_seconds", "priority", std::to_string(request.priority.value)).fill(std::chrono::duration_cast<std::chrono::microseconds>(now - held.heldSince));
             }
             answer(queue, request.placementId, decision);
             return true;
@@ -336,6 +342,12 @@
     return count;
 }
 
+void PlacementCoordinator::count(const char* result, Priority priority)
+{
+    if (m_metrics)
+        m_metrics->counter(result, "priority", std::to_string(priority.value)).fetch_add(1, std::memory_order_relaxed);
+}
+
 // At most once a second.
 void PlacementCoordinator::logQueue(const PlacementCell& cell, PlacementQueue& queue)
 {
--- a/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
+++ b/packages/exchange/lacewingsail/src/Exchange/PlacementCoordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <lacewingsail/Discovery.h>
+#include <lacewingsail/Observe.h>
 #include <lacewingsail/Policy.h>
 
 #include <chrono>
@@ -68,6 +69,9 @@
     /// one.
     PlacementCoordinator(const ServerRegistry&, const GatewayBounds&, EventLoop&, const Clock&, std::uint64_t firstPlacementId);
 
+    /// \brief Counts waits and refusals there from now on.
+    void setMetrics(Metrics& metrics) { m_metrics = &metrics; }
+
     /// \brief Updates the tracked servers from the registry. Servers of the same incarnation keep their state.
     void update();
 
@@ -98,6 +102,7 @@
     void answerAll(PlacementQueue&, const std::optional<PlacementDecision>&);
     void scheduleTick();
     void tick();
+    void count(const char* result, Priority);
     void logQueue(const PlacementCell&, PlacementQueue&);
     bool canDefer(const ServiceId&, const PlacementDemand&, double loadPerSlot);
     std::uint32_t currentCellCount(const ServiceId&, const ZoneId&) const;
@@ -122,6 +127,7 @@
     std::map<ServiceId, ProcessingTimes> m_processingTimes;
     std::map<PlacementCell, CellRetryBudget> m_retryBudgets;
     std::map<PlacementCell, PlacementQueue> m_queues;
+    Metrics* m_metrics = nullptr;
     bool m_tickScheduled = false;
     bool m_holds = true;
 };
--- a/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/GatewayHost.cpp
@@ -261,6 +261,7 @@
 
 void GatewayHost::Implementation::serve()
 {
+    placementCoordinator.setMetrics(metrics);
     log(Event("host-started").with("host", settings.id).with("zone", settings.zone));
     net::co_spawn(loop.context(), accept(), net::detached);
     loop.after(internal::discoveryDelay, [this] { discoverHosts(); });
--- a/packages/policy/lacewingsail/src/Policy/AdmissionQueue.cpp
+++ b/packages/policy/lacewingsail/src/Policy/AdmissionQueue.cpp
@@ -91,13 +91,15 @@
 CellCapacity cellCapacity(std::span<TrackedServer* const> servers, const PlacementDemand& demand, MonotonicTime now)
 {
     CellCapacity capacity;
+    double suspectedSlots = 0;
     for (const TrackedServer* server : servers) {
         if (server->leaving || std::ranges::find(demand.excludedServers, server->registration.id) != demand.excludedServers.end())
             continue;
-        if (grayFailureProbability(server->failureEstimate, now) >= internal::suspectedProbability)
-            continue;
-        capacity.slots += server->registration.slots.value / std::max(server->latencyRatio, 1.0);
+        const bool suspected = grayFailureProbability(server->failureEstimate, now) >= internal::suspectedProbability;
+        (suspected ? suspectedSlots : capacity.slots) += server->registration.slots.value / std::max(server->latencyRatio, 1.0);
     }
+    // Servers that seem to fail all alike still get requests.
+    capacity.slots += suspectedSlots > capacity.slots ? suspectedSlots : 0;
     return capacity;
 }
 
