--- a/tests/GatewayCallsTest.cpp
+++ b/tests/GatewayCallsTest.cpp
@@ -11,7 +11,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <vector>
 
 using namespace lacewingsail;
 using lacewingsail::testing::freePort;
@@ -113,3 +115,79 @@
     callerLoop.runOne();
     CHECK(failed);
 }
+
+namespace {
+
+/// \brief The called host answers demands when the test says so.
+struct HeldPlacementFixture : GatewayCallsFixture {
+    DecisionCallback held;
+    std::vector<std::uint64_t> cancelled;
+    std::unique_ptr<GatewayCalls> coordinator;
+    Endpoint coordinatorEndpoint { "127.0.0.1", freePort() };
+    PlacementDemand demand;
+    std::optional<HostCalls::PlaceCallResult> result;
+
+    HeldPlacementFixture()
+    {
+        GatewayCalls::Handlers holding = handlers;
+        holding.place = [this](const PlacementCell&, const PlacementDemand&, DecisionCallback callback) { held = std::move(callback); };
+        holding.recordOutcomes = [this](std::span<const PlacementOutcome> outcomes) {
+            for (const PlacementOutcome& outcome : outcomes)
+                cancelled.push_back(outcome.placementId);
+        };
+        coordinator = std::make_unique<GatewayCalls>(calledLoop, coordinatorEndpoint, holding, error);
+        REQUIRE_FALSE(error);
+        demand.placementId = 7;
+    }
+
+    // On a busy machine a call may fail at its deadline before it has reached the other host; it is then made again.
+    void placeUntilHeld()
+    {
+        while (!held) {
+            result.reset();
+            caller->place(coordinatorEndpoint, {}, demand, {}, [this](const HostCalls::PlaceCallResult& answer) { result = answer; });
+            while (calledLoop.taskCount() == 0 && callerLoop.taskCount() == 0)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            while (calledLoop.taskCount() > 0)
+                calledLoop.runOne();
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(HeldPlacementFixture, "place, caller's time is over while its demand is held, the demand is cancelled")
+{
+    placeUntilHeld();
+    callerLoop.runOne();
+    REQUIRE(result);
+    CHECK_FALSE(result->answered);
+    while (cancelled.empty())
+        calledLoop.runOne();
+    CHECK(cancelled.front() == demand.placementId);
+    // The coordinator answers a cancelled demand too.
+    held(std::nullopt);
+}
+
+TEST_CASE_FIXTURE(HeldPlacementFixture, "destructor, demand is held, fails the call and returns")
+{
+    placeUntilHeld();
+    coordinator.reset();
+    callerLoop.runOne();
+    REQUIRE(result);
+    CHECK_FALSE(result->answered);
+}
+
+TEST_CASE_FIXTURE(HeldPlacementFixture, "place, demand is answered in a later turn, reply reaches the caller's loop")
+{
+    // On a busy machine the caller may have given up in between.
+    for (int attempt = 0; attempt < 20 && !(result && result->answered); ++attempt) {
+        held = nullptr;
+        placeUntilHeld();
+        held(PlacementDecision { BackendServerId("i-1"), demand.placementId, 0, {}, false, false });
+        callerLoop.runOne();
+    }
+    REQUIRE(result);
+    REQUIRE(result->reply);
+    CHECK(result->reply->server == BackendServerId("i-1"));
+}
--- a/tests/PlacementCoordinatorTest.cpp
+++ b/tests/PlacementCoordinatorTest.cpp
@@ -364,3 +364,41 @@
     CHECK_FALSE(decision->server);
     CHECK(freeCapacity() == capacity);
 }
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "cancel, caller leaves while its demand waits at another host, it leaves the queue")
+{
+    for (int capacity = freeCapacity(); capacity > 0; --capacity)
+        REQUIRE(place());
+    bool answered = false;
+    const auto ticket = client.place(cell, demand, [&](const std::optional<PlacementResponse>& response) {
+        answered = true;
+        REQUIRE(response);
+        CHECK_FALSE(response->reservation);
+    });
+    REQUIRE(ticket);
+    CHECK(remote.waitingDemands() == 1);
+    client.cancel(*ticket);
+    loop.runDelayed();
+    CHECK(remote.waitingDemands() == 0);
+    CHECK(answered);
+}
+
+TEST_CASE_FIXTURE(RemoteCoordinatorFixture, "place, reply is lost after a wait, the placement is cancelled at the coordinator")
+{
+    std::vector<PlacementReservation> running;
+    for (int capacity = freeCapacity(); capacity > 0; --capacity) {
+        const auto reservation = place();
+        REQUIRE(reservation);
+        running.push_back(*reservation);
+    }
+    calls.losesReplies = true;
+    placeWithoutReply();
+    CHECK(remote.waitingDemands() == 1);
+    finish(running.front(), PlacementStatus::Succeeded);
+    loop.runDelayed();
+    CHECK(remote.waitingDemands() == 0);
+    calls.losesReplies = false;
+    for (int step = 0; step < 4; ++step)
+        loop.runDelayed();
+    CHECK(freeCapacity() == 1);
+}
