--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -108,9 +108,9 @@
             coordinator.update();
         }
 
-        void end(const PlacementDecision& placed)
+        void end(const PlacementDecision& placed, double reportedLoad)
         {
-            const PlacementOutcome outcome { *placed.server, placed.placementId, PlacementStatus::Succeeded, std::chrono::milliseconds(350), 1.0, false };
+            const PlacementOutcome outcome { *placed.server, placed.placementId, PlacementStatus::Succeeded, std::chrono::milliseconds(350), reportedLoad, false };
             coordinator.recordOutcomes(std::span(&outcome, 1));
         }
     };
@@ -129,7 +129,7 @@
             fleet.coordinator.place(fleet.cell, demand, [&decision](const std::optional<PlacementDecision>& answer) { decision = answer; });
             if (!decision || !decision->server)
                 return state.SkipWithError("no server was chosen");
-            fleet.end(*decision);
+            fleet.end(*decision, 1);
         }
     }
 
@@ -155,13 +155,13 @@
             ask();
             if (next >= placed.size())
                 return state.SkipWithError("no request was placed");
-            fleet.end(PlacementDecision(placed[next++]));
+            fleet.end(PlacementDecision(placed[next++]), 6);
         }
         state.counters["waiting"] = static_cast<double>(fleet.coordinator.waitingDemands());
     }
 
     BENCHMARK(place)->Arg(255)->Arg(660)->Arg(3500);
-    BENCHMARK(placeFromQueue)->Args({ 255, 900 })->Args({ 3500, 900 });
+    BENCHMARK(placeFromQueue)->Args({ 255, 999 })->Args({ 3500, 999 });
     BENCHMARK(choose)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(eject)->Arg(17)->Arg(170)->Arg(3500);
     BENCHMARK(budget);
