--- a/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/RequestPath.cpp
@@ -238,6 +238,7 @@
             const auto ticket = services.placement.place(cell, demand, [&services, shared](std::optional<PlacementResponse> reply) {
                 net::post(services.context, [shared, reply = std::move(reply)]() mutable { std::move (*shared)(std::move(reply)); });
             });
+            // An attempt that stalls goes on while a replacement is looked for.
             if (ticket && !request->cancelAttempt)
                 request->cancelPlacement = [&services, ticket = *ticket] { services.placement.cancel(ticket); };
         };
