--- a/packages/policy/lacewingsail/Policy.h
+++ b/packages/policy/lacewingsail/Policy.h
@@ -10,6 +10,7 @@
 #include "src/Policy/AccountShares.h"
 #include "src/Policy/AccountTokenBucket.h"
 #include "src/Policy/Admission.h"
+#include "src/Policy/AdmissionQueue.h"
 #include "src/Policy/Attempt.h"
 #include "src/Policy/BookingClaims.h"
 #include "src/Policy/BookingFold.h"
--- a/tests/ServiceRefusalsTest.cpp
+++ b/tests/ServiceRefusalsTest.cpp
@@ -1,3 +1,5 @@
+#include "CoordinatorCalls.h"
+
 #include <lacewingsail/Exchange.h>
 
 #include <doctest/doctest.h>
@@ -74,7 +76,8 @@
     ManualClock clock;
     GatewayBounds bounds;
     ServerRegistry registry;
-    PlacementCoordinator coordinator { registry, bounds, clock, 100 };
+    IdleEventLoop loop;
+    PlacementCoordinator coordinator { registry, bounds, loop, clock, 100 };
     PlacementCell cell { ServiceId("desk"), ZoneId("a"), 0, 1 };
     std::map<BackendServerId, double> refusedShares;
     std::map<BackendServerId, int> running;
@@ -121,7 +124,7 @@
     void place(Request request)
     {
         request.demand.isRetry = request.tries > 0;
-        const auto decision = coordinator.place(cell, request.demand);
+        const auto decision = decideAtOnce(coordinator, cell, request.demand);
         REQUIRE(decision);
         if (!decision->server) {
             seen.withoutRoom += decision->retryBudgetExhausted ? 0 : 1;
@@ -266,7 +269,7 @@
     }
     CHECK(retries <= bounds.retryRatio * arrivals + bounds.retrySlack);
     CHECK(retries >= 0.5 * bounds.retryRatio * arrivals);
-    const auto decision = coordinator.place(cell, makeDemand());
+    const auto decision = decideAtOnce(coordinator, cell, makeDemand());
     REQUIRE(decision);
     CHECK(decision->refusedShare > 0.35);
     CHECK(decision->refusedShare < 0.75);
@@ -281,7 +284,7 @@
     const Seen after = run(1s, 150);
     CHECK(after.turnedAway == 0);
     CHECK(after.least() * serverCount >= 0.5 * after.arrivals);
-    CHECK(coordinator.place(cell, makeDemand())->refusedShare == 0);
+    CHECK(decideAtOnce(coordinator, cell, makeDemand())->refusedShare == 0);
 }
 
 TEST_CASE_FIXTURE(RefusingServiceFixture, "one server refuses, others don't, it is found within some requests and left alone")
@@ -292,7 +295,7 @@
     CHECK(now.at(0) <= 12);
     CHECK(now.withoutRoom == 0);
     CHECK(now.turnedAway == 0);
-    CHECK(coordinator.place(cell, makeDemand())->refusedShare == 0);
+    CHECK(decideAtOnce(coordinator, cell, makeDemand())->refusedShare == 0);
 }
 
 TEST_CASE_FIXTURE(RefusingServiceFixture, "some servers refuse nearly all while all refuse a part, those get less")
