--- a/tests/ColdServerRateTest.cpp
+++ b/tests/ColdServerRateTest.cpp
@@ -1,3 +1,5 @@
+#include "CoordinatorCalls.h"
+
 #include <PlatformAdapter.h>
 
 #include <lacewingsail/Exchange.h>
@@ -56,7 +58,7 @@
         : directory(self, clock.now())
         , active([rate](const std::string&) { return configurationWith(rate); }, clock)
         , limiter(directory, active, bounds, clock)
-        , coordinator(registry, bounds, clock, 1)
+        , coordinator(registry, bounds, loop, clock, 1)
     {
         active.applyIfNewer("x", ActiveConfiguration::storeSource);
         coordinator.setColdServerLimiter(limiter);
@@ -66,6 +68,7 @@
     ActiveConfiguration active;
     ServerRegistry registry;
     ColdServerLimiter limiter;
+    IdleEventLoop loop;
     PlacementCoordinator coordinator;
 };
 
@@ -144,7 +147,7 @@
     /// Asks a host to place a request, which is answered at once.
     bool place(Host& host, const PlacementCell& asked)
     {
-        const auto decision = host.coordinator.place(asked, demand());
+        const auto decision = decideAtOnce(host.coordinator, asked, demand());
         if (!decision || !decision->server)
             return false;
         placed[*decision->server].push_back(clock.now());
