A response with an invalid status is refused; one reader and one check for responses

Callers saw: a status of 000 (also 001, 099, 101, 600, 999) of a server in trouble as the answer to their request, in both roles. Clients of control traffic took such a response for one, too, and their callers compared the status.

Cause: the parser of the library takes any three digits for a status, and what the roles checked after it (signature, id, statements) holds for successes only or says nothing of the status.

Store: held, as its client takes only 200.

Change: ResponseHeadCheck in package http decides on the bytes of a head as they arrive, before the parser; readResponseHead(), readResponseBody() and readResponse() use it for servers (both roles), the store and control traffic. The check for a response that runs into another one, which each role had for itself, moves there. Refused responses are logged with server, request and reason (response-refused, or attempt-failed where a read failed); those without a signature had no line before. Interim responses are skipped in one place, at most eight; the role entry had no limit, and control traffic took them for the answer.

Why it works: no reader gets at a response but through this check.

--- a/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/AsioHttpCalls.cpp
@@ -2,6 +2,9 @@
 
 #include "ConnectionDeadline.h"
 
+#include <lacewingsail/HttpResponses.h>
+#include <lacewingsail/Observe.h>
+
 namespace lacewingsail::internal {
 
 namespace {
@@ -9,8 +12,6 @@
     // The store limits a response to about 1 MB of records, a third more in base64.
     constexpr std::uint64_t maxResponseBytes = 4 * 1024 * 1024;
 
-    using ResponseParser = http::response_parser<http::string_body>;
-
     http::request<http::string_body> makeMessage(const HttpRequest& request, const Endpoint& endpoint)
     {
         http::request<http::string_body> message;
@@ -35,13 +36,13 @@
         return buffer.size() != 0 || error != net::error::would_block;
     }
 
-    HttpResponse takeResponse(ResponseParser& parser)
+    HttpResponse decodeResponse(http::response<http::string_body> message)
     {
         HttpResponse response;
-        response.status = static_cast<int>(parser.get().result_int());
-        for (const auto& field : parser.get())
+        response.status = static_cast<int>(message.result_int());
+        for (const auto& field : message)
             response.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        response.body = std::move(parser.get().body());
+        response.body = std::move(message.body());
         return response;
     }
 
@@ -76,21 +77,22 @@
     connection->stream.expires_never();
     const ConnectionDeadline callDeadline(m_context, connection, timeout);
     const auto message = makeMessage(request, m_endpoint);
-    ResponseParser parser;
-    parser.body_limit(maxResponseBytes);
+    std::optional<http::response<http::string_body>> response;
     if (!error)
         co_await http::async_write(connection->stream, message, net::redirect_error(net::use_awaitable, error));
     if (!error)
-        co_await http::async_read(connection->stream, connection->buffer, parser, net::redirect_error(net::use_awaitable, error));
+        response = co_await readResponse<http::string_body>(connection->stream, connection->buffer, message.method(), maxResponseBytes, error);
     if (callDeadline.expired())
         error = beast::error::timeout;
     connection->busy = false;
-    if (error || !parser.keep_alive())
+    if (isRefusal(error))
+        log(Event("response-refused").with("request", request.target).with("server", text(m_endpoint)).with("reason", error.message()));
+    if (error || !response->keep_alive())
         connection->stream.close();
     if (error)
         callback(error, {});
     else
-        callback({}, takeResponse(parser));
+        callback({}, decodeResponse(std::move(*response)));
 }
 
 } // namespace lacewingsail::internal
--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -3,6 +3,8 @@
 #include "ConnectionDeadline.h"
 #include "HopByHopHeaders.h"
 
+#include <lacewingsail/HttpResponses.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -11,7 +13,6 @@
 
 namespace {
 
-    constexpr int maxInterimResponses = 8;
     // Many round trips between zones (2 ms), and several times what connecting to a server at full load takes.
     constexpr std::chrono::milliseconds connectTimeout { 250 };
     // Data unacknowledged for this long means that the network path is down: two retransmissions were lost as well.
@@ -28,8 +29,6 @@
     // By these statuses callers learn that their request did not run.
     constexpr std::array notRunStatuses { 408U, misdirectedStatus, 429U, 503U };
 
-    using ResponseParser = http::response_parser<http::string_body>;
-
     /// \brief Counts a request as in flight at a server for the lifetime of the object.
     class InFlightGuard {
     public:
@@ -172,45 +171,22 @@
     };
 
     // Reads step by step, as the memory for all responses together is limited.
-    net::awaitable<void> readWithin(MessageBuffers& buffers, BackendConnection& connection, ResponseParser& parser, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
     {
         MessageBuffers::Reservation reservation(buffers);
-        parser.eager(true);
-        while (!parser.is_done() && !error) {
-            co_await http::async_read_some(connection.stream, connection.buffer, parser, net::redirect_error(net::use_awaitable, error));
-            if (!error && !reservation.resize(parser.get().body().size() + connection.buffer.size()))
+        const auto parser = co_await readResponseHead<http::string_body>(connection.stream, connection.buffer, method, buffers.maxBytes(), error);
+        if (error)
+            co_return std::nullopt;
+        parser->eager(true);
+        while (!parser->is_done() && !error) {
+            co_await readResponseBody(connection.stream, connection.buffer, *parser, error);
+            if (!error && !reservation.resize(parser->get().body().size() + connection.buffer.size()))
                 error = http::error::body_limit;
         }
-    }
-
-    // Skips interim (1xx) responses.
-    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
-    {
-        for (int interim = 0; interim <= maxInterimResponses; ++interim) {
-            ResponseParser parser;
-            parser.header_limit(maxUnparsedBytes);
-            parser.body_limit(buffers.maxBytes());
-            parser.skip(method == http::verb::head);
-            co_await readWithin(buffers, connection, parser, error);
-            if (error)
-                co_return std::nullopt;
-            const unsigned status = parser.get().result_int();
-            if (status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols))
-                continue;
-            CompleteResponse complete;
-            complete.keepsConnection = parser.keep_alive() && !parser.need_eof();
-            complete.message = parser.release();
-            co_return complete;
-        }
-        error = http::error::unexpected_body;
-        co_return std::nullopt;
-    }
-
-    // Neither of two messages that the parser took for one can be trusted, not even with what it says of the execution. The fields
-    // include those of a trailer.
-    bool runsIntoAnother(const ResponseMessage& response)
-    {
-        return containsStatusLine(response.reason()) || std::ranges::any_of(response, [](const auto& field) { return containsStatusLine(field.value()); });
+        if (error)
+            co_return std::nullopt;
+        const bool keepsConnection = parser->keep_alive() && !parser->need_eof();
+        co_return CompleteResponse { parser->release(), keepsConnection };
     }
 
     // A response belongs to the request whose id it repeats. With several ids it belongs to none.
@@ -255,10 +231,6 @@
             auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
             if (error || !complete)
                 co_return complete;
-            if (runsIntoAnother(complete->message)) {
-                log(Event("response-runs-into-another").with("request", request.id).with("server", server.registration.id));
-                break;
-            }
             recordStatements(services, request, server, complete->message);
             if (!isStale(services.headerNames, request, connection, complete->message)) {
                 // After a late response a further one may follow.
@@ -283,11 +255,15 @@
 
     // A success must have the server's signature and no content encoding: the body must consist of the bytes that the
     // server sent. A status that tells callers that the request did not run needs the server's statement.
-    bool isInvalid(const HeaderNames& names, const ResponseMessage& response)
+    std::string_view refusalReason(const HeaderNames& names, const ResponseMessage& response)
     {
-        if (std::ranges::find(notRunStatuses, response.result_int()) != notRunStatuses.end() || response.count(names.notRun) != 0)
-            return true;
-        return isSuccess(response) && (response[names.signature].empty() || response.count(http::field::content_encoding) != 0);
+        if (std::ranges::find(notRunStatuses, response.result_int()) != notRunStatuses.end())
+            return "status without the statement that the request was not run";
+        if (response.count(names.notRun) != 0)
+            return "statement that the request was not run beside a status that it was";
+        if (isSuccess(response) && response[names.signature].empty())
+            return "no signature";
+        return isSuccess(response) && response.count(http::field::content_encoding) != 0 ? "content encoding" : "";
     }
 
     void recordAttemptOutcome(RequestServices& services, BackendState& server, AttemptStatus attemptStatus, unsigned httpStatus, MonotonicTime startedAt)
@@ -339,8 +315,9 @@
         return outcome;
     }
 
-    AttemptReport reportInvalid(RequestServices& services, BackendState& server, AttemptReport report, const ResponseMessage& response, MonotonicTime startedAt)
+    AttemptReport refuseResponse(RequestServices& services, const RequestState& request, BackendState& server, AttemptReport report, const ResponseMessage& response, std::string_view reason, MonotonicTime startedAt)
     {
+        log(Event("response-refused").with("request", request.id).with("server", server.registration.id).with("status", static_cast<long long>(response.result_int())).with("reason", reason));
         recordAttemptOutcome(services, server, AttemptStatus::Unknown, response.result_int(), startedAt);
         report.status = AttemptStatus::Unknown;
         report.code = ResultCode::UpstreamWrongAnswer;
@@ -356,7 +333,7 @@
         report.outcome = makeOutcome(PlacementStatus::Failed, services, startedAt);
         // What the response says, also about whether the request ran, holds only if it belongs to the request.
         if (!namesRequest(names, request, response))
-            return reportInvalid(services, server, std::move(report), response, startedAt);
+            return refuseResponse(services, request, server, std::move(report), response, "id of another request", startedAt);
         const auto load = reportedLoad(names, response);
         // The reported load covers all hosts; this host knows its own part exactly.
         if (load) {
@@ -376,8 +353,8 @@
             report.code = ResultCode::Overloaded;
             return report;
         }
-        if (isInvalid(names, response))
-            return reportInvalid(services, server, std::move(report), response, startedAt);
+        if (const std::string_view reason = refusalReason(names, response); !reason.empty())
+            return refuseResponse(services, request, server, std::move(report), response, reason, startedAt);
         recordAttemptOutcome(services, server, AttemptStatus::Answered, response.result_int(), startedAt);
         if (response.result_int() >= 500)
             log(Event("server-error-response").with("request", request.id).with("server", server.registration.id).with("status", static_cast<long long>(response.result_int())));
--- a/packages/http/lacewingsail/Http.h
+++ b/packages/http/lacewingsail/Http.h
@@ -12,3 +12,4 @@
 #include "src/Http/HttpServer.h"
 #include "src/Http/Message.h"
 #include "src/Http/RawHeader.h"
+#include "src/Http/ResponseCheck.h"
--- a/packages/http/lacewingsail/src/Http/HttpClient.cpp
+++ b/packages/http/lacewingsail/src/Http/HttpClient.cpp
@@ -1,4 +1,5 @@
-#include <lacewingsail/Http.h>
+#include <lacewingsail/HttpResponses.h>
+#include <lacewingsail/Observe.h>
 
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -60,7 +61,7 @@
     }
 
     net::awaitable<void> exchange(ControlConnection& connection, const Endpoint& endpoint, const http::request<http::string_body>& request,
-        http::response_parser<http::string_body>& parser, const std::atomic<bool>& interrupted)
+        std::optional<http::response<http::string_body>>& response, const std::atomic<bool>& interrupted)
     {
         // An interruption that came before there was anything to cancel.
         if (interrupted)
@@ -71,7 +72,12 @@
             connection.open = true;
         }
         co_await http::async_write(connection.stream, request, net::use_awaitable);
-        co_await http::async_read(connection.stream, connection.buffer, parser, net::use_awaitable);
+        boost::system::error_code error;
+        response = co_await readResponse<http::string_body>(connection.stream, connection.buffer, request.method(), HttpServer::largestControlBody, error);
+        if (isRefusal(error))
+            log(Event("response-refused").with("request", request.target()).with("server", text(endpoint)).with("reason", error.message()));
+        if (error)
+            throw boost::system::system_error(error);
     }
 
     std::error_code codeOf(const std::exception_ptr& failure)
@@ -92,7 +98,7 @@
     }
 
     // Runs the exchange until it ends or the time is over. The connection is of no further use after an error.
-    std::error_code run(const http::request<http::string_body>& message, http::response_parser<http::string_body>& parser, std::chrono::milliseconds timeout);
+    std::error_code run(const http::request<http::string_body>& message, std::optional<http::response<http::string_body>>& response, std::chrono::milliseconds timeout);
 
     const Endpoint endpoint;
     net::io_context context;
@@ -101,11 +107,11 @@
 };
 
 std::error_code HttpClient::Implementation::run(
-    const http::request<http::string_body>& message, http::response_parser<http::string_body>& parser, std::chrono::milliseconds timeout)
+    const http::request<http::string_body>& message, std::optional<http::response<http::string_body>>& response, std::chrono::milliseconds timeout)
 {
     std::exception_ptr failure;
     bool done = false;
-    net::co_spawn(context, internal::exchange(*connection, endpoint, message, parser, interrupted), [&](std::exception_ptr exception) {
+    net::co_spawn(context, internal::exchange(*connection, endpoint, message, response, interrupted), [&](std::exception_ptr exception) {
         failure = exception;
         done = true;
     });
@@ -132,18 +138,15 @@
     auto& connection = m_implementation->connection;
     if (!connection || (connection->open && internal::hasUnreadData(*connection)))
         connection = std::make_unique<internal::ControlConnection>(m_implementation->context);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(HttpServer::largestControlBody);
-    error = m_implementation->run(internal::toBeast(request, m_implementation->endpoint), parser, timeout);
+    std::optional<http::response<http::string_body>> response;
+    error = m_implementation->run(internal::toBeast(request, m_implementation->endpoint), response, timeout);
     if (error) {
         connection.reset();
         return {};
     }
-    const bool keep = parser.get().keep_alive();
-    HttpResponse response = internal::fromBeast(parser.release());
-    if (!keep)
+    if (!response->keep_alive())
         connection.reset();
-    return response;
+    return internal::fromBeast(std::move(*response));
 }
 
 void HttpClient::interrupt()
--- a/packages/http/lacewingsail/src/Http/RawHeader.cpp
+++ b/packages/http/lacewingsail/src/Http/RawHeader.cpp
@@ -1,5 +1,7 @@
 #include <lacewingsail/Http.h>
 
+#include "FieldLine.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -10,33 +12,11 @@
     constexpr std::size_t mostFields = 100;
     constexpr std::string_view lineEnd = "\r\n";
 
-    bool isControl(char character)
-    {
-        const auto value = static_cast<unsigned char>(character);
-        return (value < 0x20 && character != '\t') || value == 0x7f;
-    }
-
-    bool isTokenCharacter(char character)
-    {
-        constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
-        const bool letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-        return letter || (character >= '0' && character <= '9') || marks.find(character) != std::string_view::npos;
-    }
-
     bool isRequestLine(std::string_view line)
     {
         return std::count(line.begin(), line.end(), ' ') == 2 && line.find('\t') == std::string_view::npos;
     }
 
-    bool isFieldLine(std::string_view line)
-    {
-        const std::size_t colon = line.find(':');
-        if (colon == 0 || colon == std::string_view::npos)
-            return false;
-        const std::string_view name = line.substr(0, colon);
-        return std::all_of(name.begin(), name.end(), isTokenCharacter);
-    }
-
 } // namespace
 
 std::size_t rawHeaderSize(std::string_view bytes)
@@ -60,11 +40,11 @@
             return ResultCode::MalformedRequest;
         const std::string_view line = header.substr(0, end);
         header.remove_prefix(end + lineEnd.size());
-        if (std::any_of(line.begin(), line.end(), isControl))
+        if (internal::hasControlCharacter(line))
             return ResultCode::MalformedRequest;
         if (line.empty())
             return lines > 0 && header.empty() ? ResultCode::Ok : ResultCode::MalformedRequest;
-        if (lines == 0 ? !isRequestLine(line) : !isFieldLine(line))
+        if (lines == 0 ? !isRequestLine(line) : !internal::isFieldLine(line))
             return ResultCode::MalformedRequest;
         if (++lines > mostFields + 1)
             return ResultCode::HeaderTooLarge;
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -1,5 +1,7 @@
 #include "Attempt.h"
 
+#include <lacewingsail/HttpResponses.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -60,28 +62,6 @@
         return parser.chunked() || parser.content_length() || !parser.need_eof();
     }
 
-    std::unique_ptr<EmptyParser> newParser(http::verb method)
-    {
-        auto parser = std::make_unique<EmptyParser>();
-        parser->header_limit(maxUnparsedBytes);
-        parser->body_limit(boost::none);
-        parser->skip(method == http::verb::head);
-        return parser;
-    }
-
-    // An interim answer (1xx) precedes the answer itself. The fleet never asks to switch protocols.
-    bool isInterim(const EmptyParser& parser)
-    {
-        const unsigned status = parser.get().result_int();
-        return status >= 100 && status < 200 && status != static_cast<unsigned>(http::status::switching_protocols);
-    }
-
-    // Neither of two messages that the parser took for one can be trusted, not even with what it says of the execution.
-    bool runsIntoAnother(const ResponseHeader& header)
-    {
-        return containsStatusLine(header.reason()) || std::ranges::any_of(header, [](const auto& field) { return containsStatusLine(field.value()); });
-    }
-
     AttemptOutcome outcomeOf(const boost::system::error_code& error, const RequestContext& request)
     {
         if (request.callerDisconnected)
@@ -94,6 +74,14 @@
         return outcome == AttemptOutcome::Stalled ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken;
     }
 
+    // The reason why a response with a valid head is not passed on, or an empty text.
+    std::string_view refusalReason(const RequestContext& request, const EmptyParser& parser)
+    {
+        if (parser.get()[requestIdField] != request.id.value())
+            return "id of another request";
+        return isWholeByItself(parser) ? "" : "length of the body not stated";
+    }
+
     // Watches the wait for the first byte. Past the bound it reports a stall; a request that may be repeated is then
     // broken off if the budget has a further attempt, all others wait on for their answer.
     class StallWatch {
@@ -177,6 +165,11 @@
     request.thread.services.evidence.observe({ target.service->id, target.server->id, outcome, latency, target.probe, stallAlreadyReported });
 }
 
+void recordRefusedResponse(RequestContext& request, const AttemptTarget& target, std::string_view reason)
+{
+    request.thread.services.journal.record(Event("response-refused").with("request", request.id).with("server", target.server->id).with("reason", reason));
+}
+
 net::awaitable<AttemptResult> attempt(RequestContext& request, const AttemptTarget& target)
 {
     const MonotonicTime begunAt = request.thread.services.clock.now();
@@ -195,11 +188,8 @@
     co_await http::async_write(connection->stream, message, net::redirect_error(net::use_awaitable, error));
     StallWatch watch(request, target, connection->stream, begunAt);
     std::unique_ptr<EmptyParser> parser;
-    do {
-        parser = newParser(message.method());
-        if (!error)
-            co_await http::async_read_header(connection->stream, connection->buffer, *parser, net::redirect_error(net::use_awaitable, error));
-    } while (!error && isInterim(*parser));
+    if (!error)
+        parser = co_await readResponseHead<http::empty_body>(connection->stream, connection->buffer, message.method(), std::nullopt, error);
     watch.end();
     const bool stalled = watch.stalled();
     if (watch.brokenOff() && error) {
@@ -208,11 +198,14 @@
     }
     if (error) {
         const AttemptOutcome outcome = outcomeOf(error, request);
+        if (isRefusal(error))
+            recordRefusedResponse(request, target, error.message());
         reportAttempt(request, target, outcome, begunAt, stalled);
         request.mayHaveRun = true;
         co_return std::move(sent).fail(codeOf(outcome));
     }
-    if (parser->get()[requestIdField] != request.id.value() || !isWholeByItself(*parser) || runsIntoAnother(parser->get())) {
+    if (const std::string_view reason = refusalReason(request, *parser); !reason.empty()) {
+        recordRefusedResponse(request, target, reason);
         reportAttempt(request, target, AttemptOutcome::InvalidResponse, begunAt, false);
         request.mayHaveRun = true;
         co_return std::move(sent).fail(ResultCode::UpstreamWrongAnswer);
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.h
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace lacewingsail::internal {
@@ -66,4 +67,7 @@
 /// \param stallAlreadyReported whether the attempt was reported as stalled before.
 void reportAttempt(RequestContext&, const AttemptTarget&, AttemptOutcome, MonotonicTime begunAt, bool stallAlreadyReported = false);
 
+/// \brief Records in the journal why a response of the server was not passed on.
+void recordRefusedResponse(RequestContext&, const AttemptTarget&, std::string_view reason);
+
 } // namespace lacewingsail::internal
--- a/packages/proxy/lacewingsail/src/Proxy/Relay.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Relay.cpp
@@ -5,6 +5,8 @@
 #include "Dispatch.h"
 #include "Resume.h"
 
+#include <lacewingsail/HttpResponses.h>
+
 #include <algorithm>
 
 namespace lacewingsail::internal {
@@ -17,6 +19,7 @@
     constexpr std::chrono::seconds stallBound { 2 };
     constexpr std::chrono::seconds callerWriteTimeout { 60 };
     constexpr int mostResumes = 3;
+    constexpr std::string_view digestMismatch = "digest does not match the body";
 
     // Prepares the header for the caller; the length stays as the backend server gave it.
     http::response<http::empty_body> headerFor(const AnswerSource& source, RequestContext& request)
@@ -56,6 +59,8 @@
     {
         if (request.callerDisconnected)
             return reportAttempt(request, target, AttemptOutcome::Cancelled, begunAt);
+        if (isRefusal(error))
+            recordRefusedResponse(request, target, error.message());
         reportAttempt(request, target, error == beast::error::timeout ? AttemptOutcome::Stalled : AttemptOutcome::ConnectionBroken, begunAt);
     }
 
@@ -102,6 +107,7 @@
         digest.update(body);
         // An answer without a body, such as that to HEAD, has the digest of the body it stands for.
         if (!body.empty() && !digest.matches()) {
+            recordRefusedResponse(request, target, digestMismatch);
             reportAttempt(request, target, AttemptOutcome::InvalidResponse, begunAt);
             co_return RelayResult { RelayEnd::NotBegun, std::nullopt, ResultCode::UpstreamWrongAnswer };
         }
@@ -179,6 +185,7 @@
             stream.digest.update(piece);
             // A wrong digest shows only at the end; the last piece is held back so that the caller sees a cut.
             if (stream.source->done() && !stream.digest.matches()) {
+                recordRefusedResponse(request, target, digestMismatch);
                 reportAttempt(request, target, AttemptOutcome::InvalidResponse, begunAt);
                 co_return ResultCode::UpstreamWrongAnswer;
             }
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -97,3 +97,31 @@
     CHECK(first != second);
     CHECK(server.connections() == 2);
 }
+
+TEST_CASE("send, response that is no valid message, is an error")
+{
+    const std::string length = "Content-Length: 1\r\n";
+    for (const std::string& response : { "HTTP/1.1 000 X\r\n" + length + "\r\n1", "HTTP/1.1 101 X\r\n" + length + "\r\n1", "HTTP/1.1 600 X\r\n" + length + "\r\n1",
+             "HTTP/1.1 200 X\r\nA B: 1\r\n" + length + "\r\n1", "HTTP/1.1 200 X\r\nA\x01: 1\r\n" + length + "\r\n1",
+             std::string("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n1") }) {
+        CAPTURE(response);
+        const ScriptedBackend server([&](const std::string&, int) -> ScriptedBackend::Reply { return { response, ScriptedBackend::Reply::Then::Close }; });
+        HttpClient client(server.endpoint());
+        std::error_code error;
+        const HttpResponse received = client.send({ "GET", "/", {}, {} }, generousTimeout, error);
+        CHECK(error);
+        CHECK(received.body.empty());
+    }
+}
+
+TEST_CASE("send, response in chunks or up to the end of the connection, is whole")
+{
+    for (const std::string response : { "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n1\r\n2\r\n0\r\nA: 1\r\n\r\n", "HTTP/1.1 200 X\r\n\r\n12", "HTTP/1.0 200 X\r\n\r\n12", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n12" }) {
+        CAPTURE(response);
+        const ScriptedBackend server([&](const std::string&, int) -> ScriptedBackend::Reply { return { response, ScriptedBackend::Reply::Then::Close }; });
+        HttpClient client(server.endpoint());
+        std::error_code error;
+        CHECK(client.send({ "GET", "/", {}, {} }, generousTimeout, error).body == "12");
+        CHECK_FALSE(error);
+    }
+}
--- /dev/null
+++ b/tests/ResponseCheckTest.cpp
@@ -0,0 +1,70 @@
+#include <lacewingsail/Http.h>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+using namespace lacewingsail;
+
+namespace {
+
+std::error_code checkHead(const std::string& head)
+{
+    ResponseHeadCheck check;
+    return check.check(head);
+}
+
+std::string headWith(const std::string& fields) { return "HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n"; }
+
+} // namespace
+
+TEST_CASE("ResponseHeadCheck, valid heads, are complete with their empty line")
+{
+    constexpr std::array statusLines { "HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 100 Continue", "HTTP/1.1 599 ", "HTTP/1.1 404 \xe9t\xe9\t!" };
+    constexpr std::array fields { "A: 1", "!#$%&'*+-.^_`|~09azAZ:", "A:\t \xff b \t", "Content-Length: 0\r\nA: 1", "A: 1\r\nB: HTTP/1.1" };
+    for (const std::string statusLine : statusLines) {
+        for (const std::string lines : fields) {
+            const std::string head = statusLine + "\r\n" + lines + "\r\n\r\n";
+            ResponseHeadCheck check;
+            CHECK_FALSE(check.check(head + "body"));
+            CHECK(check.size() == head.size());
+        }
+    }
+}
+
+TEST_CASE("ResponseHeadCheck, head byte by byte, is complete with its last one")
+{
+    const std::string head = headWith("A: 1\r\nContent-Length: 4");
+    ResponseHeadCheck check;
+    for (std::size_t size = 0; size < head.size(); ++size) {
+        CHECK_FALSE(check.check(std::string_view(head).substr(0, size)));
+        CHECK(check.size() == 0);
+    }
+    CHECK_FALSE(check.check(head));
+    CHECK(check.size() == head.size());
+}
+
+TEST_CASE("ResponseHeadCheck, status outside the range, is refused")
+{
+    for (const char* status : { "000", "001", "099", "101", "600", "999" })
+        CHECK(checkHead("HTTP/1.1 " + std::string(status) + " X\r\n") == ResponseFault::InvalidStatus);
+}
+
+TEST_CASE("ResponseHeadCheck, bytes that begin no status line, are refused at once")
+{
+    for (const char* bytes : { "X", "HTTP/2", "HTTP/1.1 2000 X\r\n", "HTTP/1.1 20 X\r\n", "HTTP/1.1 200\r\n", "HTTP/1.1  200 X\r\n", "HTTP/1.2 200 X\r\n", "HTTP/1.1 2x0 X\r\n", "HTTP/1.1 -20 X\r\n", "\r\n", "\n", "HTTP/1.1 200 X\n", "HTTP/1.1 200 \x01\r\n" })
+        CHECK(checkHead(bytes) == ResponseFault::MalformedHead);
+}
+
+TEST_CASE("ResponseHeadCheck, status line inside a field or the reason, is refused")
+{
+    CHECK(checkHead(headWith("A: 1HTTP/1.1 200 OK")) == ResponseFault::RunsIntoAnother);
+    CHECK(checkHead("HTTP/1.1 503 XHTTP/1.1 200 OK\r\n") == ResponseFault::RunsIntoAnother);
+}
+
+TEST_CASE("checkTrailer, valid trailers, are accepted")
+{
+    for (const char* end : { "0\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n000;a=\"x: y\"\r\nA: 1\r\n0: 2\r\n\r\n", "4\r\n 1\r\n\r\n0 ;a\r\nA: 1\r\n\r\n" })
+        CHECK_FALSE(checkTrailer(end));
+}
--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace lacewingsail;
 using namespace lacewingsail::testing;
 using Then = ScriptedBackend::Reply::Then;
@@ -219,3 +221,63 @@
     CHECK(has(fixture.exchange(post), "X-Lacewingsail-Execution: unknown"));
     CHECK(fixture.requestCount() == 1);
 }
+
+namespace {
+
+struct RefusedResponse {
+    std::string name;
+    std::string bytes;
+};
+
+const std::string idLine = "X-Request-Id: {ID}\r\n";
+
+// Each with a body of four bytes.
+std::vector<RefusedResponse> refusedResponses()
+{
+    const std::string sized = idLine + "Content-Length: 4\r\n";
+    std::vector<RefusedResponse> responses;
+    for (const std::string status : { "000", "099", "101", "600", "999" })
+        responses.push_back({ status, "HTTP/1.1 " + status + " X\r\n" + sized + "\r\nbody" });
+    return responses;
+}
+
+bool recordsRefusal(const ProxyFixture& fixture)
+{
+    const auto lines = fixture.journal.linesWith("event=response-refused ");
+    return std::ranges::any_of(lines, [](const std::string& line) { return has(line, " request=") && has(line, " server=") && has(line, " reason="); });
+}
+
+} // namespace
+
+TEST_CASE("attempt, response that is no valid message, is refused, recorded and a booking is sent once")
+{
+    for (const auto& [name, bytes] : refusedResponses()) {
+        CAPTURE(name);
+        const ProxyFixture broken([&](const std::string&, int) -> ScriptedBackend::Reply { return { bytes, Then::Close }; });
+        const std::string answer = broken.exchange(post);
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(has(answer, "X-Lacewingsail-Execution: unknown"));
+        CHECK(broken.requestCount() == 1);
+        CHECK(recordsRefusal(broken));
+        std::atomic<int> requests { 0 };
+        const ProxyFixture repeated([&](const std::string&, int) -> ScriptedBackend::Reply {
+            return ++requests == 1 ? ScriptedBackend::Reply { bytes, Then::Close } : ScriptedBackend::Reply { header(200, 5) + "whole", Then::GoOn };
+        });
+        CHECK(bodyOf(repeated.exchange(get)) == "whole");
+    }
+}
+
+TEST_CASE("relay, chunks with a valid trailer, are whole")
+{
+    const std::string bytes = "HTTP/1.1 200 X\r\n" + idLine + "Transfer-Encoding: chunked\r\n\r\n4;a=\"b\"\r\nbody\r\n0\r\nX-Filler: a:b\r\n\r\n";
+    const ProxyFixture fixture([&](const std::string&, int) -> ScriptedBackend::Reply { return { bytes, Then::GoOn }; });
+    CHECK(bodyOf(fixture.exchange(get)) == "4\r\nbody\r\n0\r\n\r\n");
+}
+
+// Its end cannot be told from that of a broken connection.
+TEST_CASE("attempt, response that ends with its connection, is refused and recorded")
+{
+    const ProxyFixture fixture([](const std::string&, int) -> ScriptedBackend::Reply { return { "HTTP/1.1 200 X\r\n" + idLine + "\r\nbody", Then::Close }; });
+    CHECK(fixture.exchange(post).starts_with("HTTP/1.1 502"));
+    CHECK(recordsRefusal(fixture));
+}
--- /dev/null
+++ b/tests/refused_responses_test.py
@@ -0,0 +1,196 @@
+#!/usr/bin/env python3
+"""Gateway hosts before backend servers, and a store, whose responses are no valid or no complete HTTP/1.1 messages.
+
+A caller gets a whole response of one server or none: what cannot be one is refused, with a line in the log, and what is one is
+passed on, whether its end is stated by a length, by chunks or by the end of the connection.
+"""
+
+import http.client
+import os
+import sys
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
+
+from backend_responses_test import CHUNKED, SIGNED, Exchange, complete_response
+from fleet.gateway_fixture import ACCOUNTS, ROUTES, check, run_cases
+from fleet.processes import FleetError, wait_until
+
+REQUEST_FIELDS = "Attempt-Id: ID\r\nResponse-Signature: s1\r\n"
+
+INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
+
+class BrokenOnce:
+    """Behaviour of servers that write `text` as the first response to each request, and then end the connection; further ones to
+    the same id are good."""
+
+    def __init__(self, text):
+        self.text, self.broken = text, set()
+
+    def __call__(self, handler, body):
+        request_id = handler.headers["Attempt-Id"]
+        handler.record_execution()
+        if request_id in self.broken:
+            return handler.wfile.write(b"".join(complete_response(handler, body)))
+        self.broken.add(request_id)
+        handler.close_connection = True
+        return handler.wfile.write(self.text.replace("ID", request_id).encode("latin-1"))
+
+
+def await_refusals(fixture, request_ids, what):
+    """Waits for the lines that say which responses were refused and why."""
+    def logged(request_id):
+        lines = [line for host in fixture.hosts for line in host.log_lines() if f" request={request_id} " in line]
+        return any(" server=i-" in line and " reason=" in line and (" event=attempt-failed " in line or " event=response-refused " in line) for line in lines)
+
+    wait_until(lambda: all(logged(request_id) for request_id in request_ids), f"{what}: the lines of the refusals")
+
+
+def check_refused(fixture, name, text):
+    fixture.set_behaviour(BrokenOnce(text))
+    booking = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+    check(booking.check(fixture, name) == 1 and booking.status == 502, f"{name}: booking has status {booking.status}, body {booking.body!r}")
+    read = Exchange(fixture.hosts[0].callers, "GET", "/look/1")
+    # After many failures no further server may be tried. What is passed on is the second response only.
+    replaced = read.check(fixture, name) == 2 and read.status == 200 and read.body.startswith(b"i-") and "X-Filler" not in read.headers
+    check(replaced or read.status == 502, f"{name}: read has status {read.status}, {read.headers}, body {read.body!r}")
+    # One response after the other, as the number of log lines a second is limited.
+    await_refusals(fixture, (booking.request_id, read.request_id), name)
+    fixture.set_behaviour("good")
+    return read.status
+
+
+def check_all_refused(fixture, responses):
+    """Says of all responses which are passed on, not of the first one only."""
+    wrong, statuses = [], []
+    for name, text in responses:
+        try:
+            statuses.append(check_refused(fixture, name, text))
+        except (AssertionError, FleetError, http.client.HTTPException) as error:
+            wrong.append(f"{name}: {error!r}")
+    check(not wrong, "\n  " + "\n  ".join(wrong))
+    check(200 in statuses, "no read was served by another server")
+
+
+def responses_with_an_invalid_status_are_refused(fixture):
+    check_all_refused(fixture, ((status, f"HTTP/1.1 {status} X\r\n{REQUEST_FIELDS}Content-Length: 4\r\n\r\nbody") for status in INVALID_STATUSES))
+
+
+def responses_without_a_signature_or_id_are_refused(fixture):
+    check_all_refused(fixture, {
+        "no signature": "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 4\r\n\r\nbody",
+        "content coding": SIGNED + "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+        "no id": "HTTP/1.1 200 OK\r\nResponse-Signature: s1\r\nContent-Length: 4\r\n\r\nbody",
+        "status line in a field": SIGNED + "X-Filler: HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+    }.items())
+
+
+def sound_responses_are_passed_on(fixture):
+    body = "whole body"
+    framed = f"Content-Length: {len(body)}\r\n\r\n{body}"
+    chunks = f"\r\n4;a=\"b c\"\r\n{body[:4]}\r\n{len(body) - 4:x}\r\n{body[4:]}\r\n0\r\n"
+    responses = {
+        "length": SIGNED + framed,
+        "length twice": SIGNED + f"Content-Length: {len(body)}\r\n" + framed,
+        "no reason": SIGNED.replace("200 OK", "200 ") + framed,
+        "reason beyond ASCII": SIGNED.replace("200 OK", "200 \xe9t\xe9") + framed,
+        "names in lower case": SIGNED.replace("Attempt-Id", "attempt-id") + framed.lower(),
+        "tabs and blanks in values": SIGNED + "X-Filler:\ta \t b \t\r\n" + framed,
+        "no blank before a value": SIGNED.replace(": ", ":") + framed,
+        "value beyond ASCII": SIGNED + "X-Filler: \xe9\xff\r\n" + framed,
+        "empty value": SIGNED + "X-Filler:\r\n" + framed,
+        "all characters of names": SIGNED + "!#$%&'*+-.^_`|~09azAZ: 1\r\n" + framed,
+        "ninety fields": SIGNED + "".join(f"X-Filler-{index}: 1\r\n" for index in range(90)) + framed,
+        "chunks": CHUNKED + chunks + "\r\n",
+        "chunks, coding in capitals": CHUNKED.replace("chunked", "Chunked") + chunks + "\r\n",
+        "chunks and a trailer": CHUNKED + chunks + "X-Filler: 1\r\nX-Other: a:b\r\n\r\n",
+        "end of the connection": SIGNED + "\r\n" + body,
+        "end of the connection, HTTP/1.0": (SIGNED + "\r\n" + body).replace("HTTP/1.1", "HTTP/1.0"),
+        "end of the connection, stated": SIGNED + "Connection: close\r\n\r\n" + body,
+        "length, HTTP/1.0": (SIGNED + framed).replace("HTTP/1.1", "HTTP/1.0"),
+        "after interim responses": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nX-Filler: 1\r\n\r\n" + SIGNED + framed,
+        "failure": SIGNED.replace("200 OK", "599 X") + framed,
+        "refusal by the server itself": SIGNED.replace("200 OK", "404 X") + framed,
+    }
+    for name, text in responses.items():
+        for pieces in (1, len(text)):
+            def respond(handler, _, text=text, pieces=pieces):
+                handler.record_execution()
+                handler.close_connection = True
+                data = text.replace("ID", handler.headers["Attempt-Id"]).encode("latin-1")
+                size = -(-len(data) // pieces)
+                for start in range(0, len(data), size):
+                    handler.wfile.write(data[start:start + size])
+
+            fixture.set_behaviour(respond)
+            booking = Exchange(fixture.hosts[0].callers, "POST", "/book/1")
+            status = {"failure": 599, "refusal by the server itself": 404}.get(name, 200)
+            check(booking.status == status and booking.body.decode().lower() == body.lower(), f"{name}, {pieces} pieces: status {booking.status}, body {booking.body!r}")
+            check(len(fixture.executions(booking.request_id)) == 1, f"{name}: executions")
+    fixture.set_behaviour("good")
+
+
+def sound_responses_without_a_body_are_passed_on(fixture):
+    for method, status, field in (("HEAD", 200, "Content-Length: 10"), ("HEAD", 200, "Transfer-Encoding: chunked"), ("POST", 204, "X-Filler: 1"),
+                                  ("POST", 204, "Content-Length: 0"), ("GET", 304, "Content-Length: 10"), ("GET", 304, "Transfer-Encoding: chunked")):
+        def respond(handler, _, status=status, field=field):
+            handler.record_execution()
+            handler.wfile.write(SIGNED.replace("200 OK", f"{status} X").replace("ID", handler.headers["Attempt-Id"]).encode() + f"{field}\r\n\r\n".encode())
+
+        fixture.set_behaviour(respond)
+        exchange = Exchange(fixture.hosts[0].callers, method, "/look/1")
+        check(exchange.status == status and not exchange.body, f"{method} {status} {field}: status {exchange.status}, body {exchange.body!r}")
+    fixture.set_behaviour("good")
+
+
+STORE_FAULTS = {
+    "invalid status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 000 OK\r\n"),
+    "interim status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 100 OK\r\n"),
+    "blank in a name": (b"\r\nContent-Length: ", b"\r\nX Filler: 1\r\nContent-Length: "),
+    "control byte in a name": (b"\r\nContent-Length: ", b"\r\nX-\x01Filler: 1\r\nContent-Length: "),
+    "two lengths": (b"\r\nContent-Length: ", b"\r\nContent-Length: 3\r\nContent-Length: "),
+    "status line in a field": (b"\r\nContent-Length: ", b"\r\nX-Filler: HTTP/1.1 200 OK\r\nContent-Length: "),
+}
+
+
+def refusals_of_the_store(host):
+    return sum("event=response-refused " in line and " server=" in line and " request=" in line and " reason=" in line for line in host.log_lines())
+
+
+def broken_responses_of_the_store_are_refused(fixture):
+    """No configuration is taken from them; it is read once they are sound again."""
+    handler = fixture.store.server.RequestHandlerClass
+    flush = handler.flush_headers
+    host = fixture.hosts[0]
+    accepted = []
+    for name, (sound, broken) in STORE_FAULTS.items():
+        def flush_broken(self, sound=sound, broken=broken):
+            self._headers_buffer = [b"".join(self._headers_buffer).replace(sound, broken)]
+            flush(self)
+
+        activated = f"event=configuration-activated version={fixture.version + 3} "
+        refused = refusals_of_the_store(host)
+        handler.flush_headers = flush_broken
+        try:
+            fixture.publish(ROUTES, ACCOUNTS)
+            wait_until(lambda: refusals_of_the_store(host) >= refused + 3 or any(activated in line for line in host.log_lines()), f"{name}: refusals")
+            if any(activated in line for line in host.log_lines()):
+                accepted.append(name)
+        except FleetError as error:
+            accepted.append(f"{name}: {error}")
+        finally:
+            handler.flush_headers = flush
+        wait_until(lambda: any(activated in line for line in host.log_lines()), f"{name}: the new configuration")
+    check(not accepted, f"accepted: {accepted}")
+
+
+CASES = [
+    sound_responses_are_passed_on,
+    sound_responses_without_a_body_are_passed_on,
+    responses_with_an_invalid_status_are_refused,
+    responses_without_a_signature_or_id_are_refused,
+    broken_responses_of_the_store_are_refused,
+]
+
+if __name__ == "__main__":
+    sys.exit(run_cases(CASES))
