A response with a malformed field in its head or trailer is refused

Callers saw: a response as valid in whose head a line began with a blank. The line was passed on as part of the field before it; if it was that of Content-Length or Transfer-Encoding, the body ran to the end of the connection, with the framing of its chunks in it.

Cause: the parser takes a line that begins with a blank for the continuation of the field before, as older versions of HTTP allowed. It refuses blanks and control bytes inside and behind a name, and control bytes in values: that held, and is kept as a test.

Change: ResponseHeadCheck refuses what is no field line; checkTrailer() does so for the lines behind the last chunk, which the gateway passes on with the fields of the head.

Why it works: the bytes are checked before the parser joins lines, for all readers of responses.

--- a/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
@@ -29,6 +29,8 @@
                 return "malformed head";
             case ResponseFault::RunsIntoAnother:
                 return "another response begins inside a field";
+            case ResponseFault::MalformedTrailer:
+                return "malformed trailer";
             }
             return "unknown fault of a response";
         }
@@ -36,6 +38,8 @@
 
     std::error_code checkFieldLine(std::string_view line)
     {
+        if (hasControlCharacter(line) || !isFieldLine(line))
+            return ResponseFault::MalformedHead;
         return containsStatusLine(line) ? make_error_code(ResponseFault::RunsIntoAnother) : std::error_code();
     }
 
@@ -74,7 +78,7 @@
 {
     if (m_checked == 0)
         return checkStatusLine(line);
-    return internal::checkFieldLine(line);
+    return line.empty() ? std::error_code() : internal::checkFieldLine(line);
 }
 
 std::error_code ResponseHeadCheck::checkStatusLine(std::string_view line)
@@ -109,10 +113,10 @@
         if (line.starts_with('0') && !internal::isFieldLine(line))
             return {};
         if (const std::error_code error = internal::checkFieldLine(line))
-            return error;
+            return error == ResponseFault::MalformedHead ? make_error_code(ResponseFault::MalformedTrailer) : error;
         end.remove_suffix(line.size());
     }
-    return ResponseFault::MalformedHead;
+    return ResponseFault::MalformedTrailer;
 }
 
 } // namespace lacewingsail
--- a/packages/http/lacewingsail/src/Http/ResponseCheck.h
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.h
@@ -13,6 +13,7 @@
     MalformedHead,
     /// A status line in a field: the response was broken off there, and another one follows.
     RunsIntoAnother,
+    MalformedTrailer,
 };
 
 const std::error_category& responseFaultCategory();
--- a/tests/ResponseCheckTest.cpp
+++ b/tests/ResponseCheckTest.cpp
@@ -57,6 +57,22 @@
         CHECK(checkHead(bytes) == ResponseFault::MalformedHead);
 }
 
+TEST_CASE("ResponseHeadCheck, field name with a blank or a control byte, is refused")
+{
+    for (const char* line : { " A: 1", "\tA: 1", " ", "A : 1", "A\t: 1", "A B: 1", "\x01"
+                                                                                   "A: 1",
+             "A\x1f: 1", "A\x7f: 1", ": 1", "A", "(A): 1", "\xe9: 1" }) {
+        CHECK(checkHead(headWith(line)) == ResponseFault::MalformedHead);
+        CHECK(checkHead(headWith("B: 1\r\n" + std::string(line))) == ResponseFault::MalformedHead);
+    }
+}
+
+TEST_CASE("ResponseHeadCheck, value with a control byte or a bare line end, is refused")
+{
+    for (const std::string& line : { std::string("A: \x01"), std::string("A: a\0b", 6), std::string("A: a\rb"), std::string("A: a\nB: b"), std::string("A: \x7f") })
+        CHECK(checkHead(headWith(line)) == ResponseFault::MalformedHead);
+}
+
 TEST_CASE("ResponseHeadCheck, status line inside a field or the reason, is refused")
 {
     CHECK(checkHead(headWith("A: 1HTTP/1.1 200 OK")) == ResponseFault::RunsIntoAnother);
@@ -68,3 +84,10 @@
     for (const char* end : { "0\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n000;a=\"x: y\"\r\nA: 1\r\n0: 2\r\n\r\n", "4\r\n 1\r\n\r\n0 ;a\r\nA: 1\r\n\r\n" })
         CHECK_FALSE(checkTrailer(end));
 }
+
+TEST_CASE("checkTrailer, malformed trailers, are refused")
+{
+    for (const char* end : { "0\r\n A: 1\r\n\r\n", "0\r\nA: 1\r\n B: 2\r\n\r\n", "0\r\nA: 1\r\n \r\n\r\n", "0\r\nA : 1\r\n\r\n", "0\r\nA: \x01\r\n\r\n", "0\r\nA\r\n\r\n" })
+        CHECK(checkTrailer(end) == ResponseFault::MalformedTrailer);
+    CHECK(checkTrailer("0\r\nA: HTTP/1.1 200 OK\r\n\r\n") == ResponseFault::RunsIntoAnother);
+}
--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -238,6 +238,10 @@
     std::vector<RefusedResponse> responses;
     for (const std::string status : { "000", "099", "101", "600", "999" })
         responses.push_back({ status, "HTTP/1.1 " + status + " X\r\n" + sized + "\r\nbody" });
+    for (const std::string line : { " X-Filler: 1", "\tX-Filler: 1", "X Filler: 1", "X-Filler : 1", "X-\x01"
+                                                                                                    "Filler: 1",
+             "X-Filler\x7f: 1", " " })
+        responses.push_back({ line, "HTTP/1.1 200 X\r\n" + idLine + "X-Other: 1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody" });
     return responses;
 }
 
@@ -267,6 +271,19 @@
     }
 }
 
+TEST_CASE("relay, chunks with a malformed trailer, are not ended")
+{
+    for (const std::string trailer : { " X-Filler: 1", "X-Other: 1\r\n X-Filler: 1", "X Filler: 1", "X-Other: HTTP/1.1 200 OK" }) {
+        CAPTURE(trailer);
+        const std::string bytes = "HTTP/1.1 200 X\r\n" + idLine + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + trailer + "\r\n\r\n";
+        const ProxyFixture fixture([&](const std::string&, int) -> ScriptedBackend::Reply { return { bytes, Then::GoOn }; });
+        const std::string answer = fixture.exchange(get);
+        CHECK(has(answer, "body"));
+        CHECK_FALSE(has(answer, "\r\n0\r\n"));
+        CHECK(recordsRefusal(fixture));
+    }
+}
+
 TEST_CASE("relay, chunks with a valid trailer, are whole")
 {
     const std::string bytes = "HTTP/1.1 200 X\r\n" + idLine + "Transfer-Encoding: chunked\r\n\r\n4;a=\"b\"\r\nbody\r\n0\r\nX-Filler: a:b\r\n\r\n";
--- a/tests/refused_responses_test.py
+++ b/tests/refused_responses_test.py
@@ -20,6 +20,47 @@
 
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
 
+MALFORMED_FIELDS = {
+    "blank in a name": "X Filler: 1",
+    "blank behind a name": "X-Filler : 1",
+    "tab behind a name": "X-Filler\t: 1",
+    "blank before a name": " X-Filler: 1",
+    "tab before a name": "\tX-Filler: 1",
+    "blank line that is no end": " ",
+    "control byte in a name": "X-\x01Filler: 1",
+    "control byte before a name": "\x02X-Filler: 1",
+    "control byte behind a name": "X-Filler\x1f: 1",
+    "null byte in a name": "X-\0Filler: 1",
+    "delete byte in a name": "X-\x7fFiller: 1",
+    "control byte in a value": "X-Filler: \x01",
+    "null byte in a value": "X-Filler: a\0b",
+    "bare carriage return": "X-Filler: a\rb",
+    "bare line feed": "X-Filler: a\nX-Other: b",
+    "no name": ": 1",
+    "no colon": "X-Filler",
+}
+LENGTHS = ("Content-Length: 4", "Transfer-Encoding: chunked")
+
+
+def malformed_heads():
+    for name, field in MALFORMED_FIELDS.items():
+        yield f"{name}, first", f"HTTP/1.1 200 OK\r\n{field}\r\n{REQUEST_FIELDS}Content-Length: 4\r\n\r\nbody"
+        yield f"{name}, last", f"{SIGNED}Content-Length: 4\r\n{field}\r\n\r\nbody"
+        yield f"{name}, behind another field", f"{SIGNED}X-Other: a\r\n{field}\r\nContent-Length: 4\r\n\r\nbody"
+    for field in LENGTHS:
+        name, value = field.split(": ")
+        body = "4\r\nbody\r\n0\r\n\r\n" if value == "chunked" else "body"
+        for what, line in {"blank before": f" {field}", "tab before": f"\t{field}", "blank behind": f"{name} : {value}",
+                           "blank in": f"{name.replace('-', ' ')}: {value}", "control byte before": f"\x03{field}", "control byte behind": f"{name}\x01: {value}"}.items():
+            yield f"{what} {name}", f"{SIGNED}{line}\r\n\r\n{body}"
+
+
+def malformed_trailers():
+    for name, field in MALFORMED_FIELDS.items():
+        yield f"{name}, only one", f"{CHUNKED}\r\n4\r\nbody\r\n0\r\n{field}\r\n\r\n"
+        yield f"{name}, last", f"{CHUNKED}\r\n4\r\nbody\r\n0;a=b\r\nX-Filler: 1\r\n{field}\r\n\r\n"
+
+
 class BrokenOnce:
     """Behaviour of servers that write `text` as the first response to each request, and then end the connection; further ones to
     the same id are good."""
@@ -76,6 +117,14 @@
     check_all_refused(fixture, ((status, f"HTTP/1.1 {status} X\r\n{REQUEST_FIELDS}Content-Length: 4\r\n\r\nbody") for status in INVALID_STATUSES))
 
 
+def responses_with_a_malformed_head_are_refused(fixture):
+    check_all_refused(fixture, malformed_heads())
+
+
+def responses_with_a_malformed_trailer_are_refused(fixture):
+    check_all_refused(fixture, malformed_trailers())
+
+
 def responses_without_a_signature_or_id_are_refused(fixture):
     check_all_refused(fixture, {
         "no signature": "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 4\r\n\r\nbody",
@@ -146,6 +195,7 @@
 STORE_FAULTS = {
     "invalid status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 000 OK\r\n"),
     "interim status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 100 OK\r\n"),
+    "blank before a name": (b"\r\nContent-Length: ", b"\r\n X-Filler: 1\r\nContent-Length: "),
     "blank in a name": (b"\r\nContent-Length: ", b"\r\nX Filler: 1\r\nContent-Length: "),
     "control byte in a name": (b"\r\nContent-Length: ", b"\r\nX-\x01Filler: 1\r\nContent-Length: "),
     "two lengths": (b"\r\nContent-Length: ", b"\r\nContent-Length: 3\r\nContent-Length: "),
@@ -188,6 +238,8 @@
     sound_responses_are_passed_on,
     sound_responses_without_a_body_are_passed_on,
     responses_with_an_invalid_status_are_refused,
+    responses_with_a_malformed_head_are_refused,
+    responses_with_a_malformed_trailer_are_refused,
     responses_without_a_signature_or_id_are_refused,
     broken_responses_of_the_store_are_refused,
 ]
