A response whose length can be read in several ways is refused

Callers saw: bodies that were not the server's. With a transfer coding other than chunks the caller got encoded bytes, or the chunks with their framing, as a complete answer with the signature of the server; a status 204 with a length or chunks left its body behind.

Cause: the parser decodes chunks if they come last in the list of codings and ignores the other codings; any other list means to it a body up to the end of the connection, or of the stated length. It looks at neither the version nor the length of a response without a body.

Differing, malformed or combined lengths were refused before.

Change: ResponseHeadCheck accepts one transfer coding, "chunked", in HTTP/1.1 and without a length, and no body where the status has none.

Why it works: hosts ask for no coding, so that a sound server sends none, and the ways that are left are those that the parser decodes.

--- a/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
@@ -2,6 +2,8 @@
 
 #include "FieldLine.h"
 
+#include <boost/beast/core/string.hpp>
+
 #include <cassert>
 #include <charconv>
 #include <string>
@@ -16,6 +18,8 @@
     constexpr unsigned minStatus = 100;
     constexpr unsigned maxStatus = 599;
     constexpr unsigned statusSwitchingProtocols = 101;
+    constexpr unsigned minFinalStatus = 200;
+    constexpr unsigned statusNoContent = 204;
 
     class ResponseFaultCategory final : public std::error_category {
     public:
@@ -29,6 +33,8 @@
                 return "malformed head";
             case ResponseFault::RunsIntoAnother:
                 return "another response begins inside a field";
+            case ResponseFault::AmbiguousFraming:
+                return "ambiguous length of the body";
             case ResponseFault::MalformedTrailer:
                 return "malformed trailer";
             }
@@ -36,6 +42,13 @@
         }
     };
 
+    std::string_view trimmed(std::string_view value)
+    {
+        constexpr std::string_view blanks = " \t";
+        const std::size_t first = value.find_first_not_of(blanks);
+        return first == std::string_view::npos ? std::string_view() : value.substr(first, value.find_last_not_of(blanks) - first + 1);
+    }
+
     std::error_code checkFieldLine(std::string_view line)
     {
         if (hasControlCharacter(line) || !isFieldLine(line))
@@ -78,7 +91,7 @@
 {
     if (m_checked == 0)
         return checkStatusLine(line);
-    return line.empty() ? std::error_code() : internal::checkFieldLine(line);
+    return line.empty() ? checkFraming() : checkField(line);
 }
 
 std::error_code ResponseHeadCheck::checkStatusLine(std::string_view line)
@@ -87,20 +100,46 @@
     if (internal::hasControlCharacter(line) || !line.starts_with(internal::protocolName))
         return ResponseFault::MalformedHead;
     line.remove_prefix(internal::protocolName.size());
-    if (!line.starts_with("1 ") && !line.starts_with("0 "))
+    m_codingsAllowed = line.starts_with("1 ");
+    if (!m_codingsAllowed && !line.starts_with("0 "))
         return ResponseFault::MalformedHead;
     line.remove_prefix(2);
-    unsigned status = 0;
     const std::string_view digits = line.substr(0, internal::statusDigits);
-    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), status);
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_status);
     line.remove_prefix(digits.size());
     if (error != std::errc() || end != digits.data() + internal::statusDigits || !line.starts_with(' '))
         return ResponseFault::MalformedHead;
-    if (status < internal::minStatus || status > internal::maxStatus || status == internal::statusSwitchingProtocols)
+    if (m_status < internal::minStatus || m_status > internal::maxStatus || m_status == internal::statusSwitchingProtocols)
         return ResponseFault::InvalidStatus;
     return containsStatusLine(line) ? make_error_code(ResponseFault::RunsIntoAnother) : std::error_code();
 }
 
+std::error_code ResponseHeadCheck::checkField(std::string_view line)
+{
+    if (const std::error_code error = internal::checkFieldLine(line))
+        return error;
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    const std::string_view value = internal::trimmed(line.substr(colon + 1));
+    if (boost::beast::iequals(name, "Transfer-Encoding")) {
+        ++m_codings;
+        m_chunked = boost::beast::iequals(value, "chunked");
+    } else if (boost::beast::iequals(name, "Content-Length")) {
+        m_statesLength = true;
+        m_statesBody = m_statesBody || value.find_first_not_of('0') != std::string_view::npos;
+    }
+    return {};
+}
+
+// The parser checks the lengths themselves. It takes a body in an unknown coding for one that ends with the connection.
+std::error_code ResponseHeadCheck::checkFraming() const
+{
+    const bool hasNoBody = m_status < internal::minFinalStatus || m_status == internal::statusNoContent;
+    const bool codingUnderstood = m_codings == 1 && m_chunked && m_codingsAllowed && !m_statesLength;
+    const bool sound = m_codings == 0 ? !hasNoBody || !m_statesBody : codingUnderstood && !hasNoBody;
+    return sound ? std::error_code() : make_error_code(ResponseFault::AmbiguousFraming);
+}
+
 std::error_code checkTrailer(std::string_view end)
 {
     assert(end.ends_with("\r\n\r\n"));
--- a/packages/http/lacewingsail/src/Http/ResponseCheck.h
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.h
@@ -13,6 +13,8 @@
     MalformedHead,
     /// A status line in a field: the response was broken off there, and another one follows.
     RunsIntoAnother,
+    /// The length of the body can be read in several ways, or not at all.
+    AmbiguousFraming,
     MalformedTrailer,
 };
 
@@ -33,9 +35,17 @@
 private:
     std::error_code checkLine(std::string_view line);
     std::error_code checkStatusLine(std::string_view line);
+    std::error_code checkField(std::string_view line);
+    std::error_code checkFraming() const;
 
     std::size_t m_checked = 0;
     std::size_t m_size = 0;
+    unsigned m_status = 0;
+    bool m_codingsAllowed = false;
+    int m_codings = 0;
+    bool m_chunked = false;
+    bool m_statesLength = false;
+    bool m_statesBody = false;
 };
 
 /// \brief Checks the trailer behind the last chunk.
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -102,7 +102,7 @@
 {
     const std::string length = "Content-Length: 1\r\n";
     for (const std::string& response : { "HTTP/1.1 000 X\r\n" + length + "\r\n1", "HTTP/1.1 101 X\r\n" + length + "\r\n1", "HTTP/1.1 600 X\r\n" + length + "\r\n1", "HTTP/1.1 200 X\r\nA: 1\r\n B: 1\r\n" + length + "\r\n1",
-             "HTTP/1.1 200 X\r\nA B: 1\r\n" + length + "\r\n1", "HTTP/1.1 200 X\r\nA\x01: 1\r\n" + length + "\r\n1",
+             "HTTP/1.1 200 X\r\nA B: 1\r\n" + length + "\r\n1", "HTTP/1.1 200 X\r\nA\x01: 1\r\n" + length + "\r\n1", "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n" + length + "\r\n1",
              std::string("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\nA: 1\r\n B: 1\r\n\r\n"), std::string("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n1") }) {
         CAPTURE(response);
         const ScriptedBackend server([&](const std::string&, int) -> ScriptedBackend::Reply { return { response, ScriptedBackend::Reply::Then::Close }; });
--- a/tests/ResponseCheckTest.cpp
+++ b/tests/ResponseCheckTest.cpp
@@ -79,6 +79,21 @@
     CHECK(checkHead("HTTP/1.1 503 XHTTP/1.1 200 OK\r\n") == ResponseFault::RunsIntoAnother);
 }
 
+TEST_CASE("ResponseHeadCheck, length of the body that can be read in several ways, is refused")
+{
+    for (const char* lines : { "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: chunked, gzip", "Transfer-Encoding:", "transfer-encoding: identity",
+             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked" })
+        CHECK(checkHead(headWith(lines)) == ResponseFault::AmbiguousFraming);
+    CHECK(checkHead("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") == ResponseFault::AmbiguousFraming);
+    for (const char* statusLine : { "HTTP/1.1 103 X", "HTTP/1.1 204 X" }) {
+        CHECK(checkHead(statusLine + std::string("\r\nContent-Length: 4\r\n\r\n")) == ResponseFault::AmbiguousFraming);
+        CHECK(checkHead(statusLine + std::string("\r\nTransfer-Encoding: chunked\r\n\r\n")) == ResponseFault::AmbiguousFraming);
+        CHECK_FALSE(checkHead(statusLine + std::string("\r\nContent-Length: 0\r\n\r\n")));
+    }
+    CHECK_FALSE(checkHead(headWith("Transfer-Encoding: \tChunked ")));
+    CHECK_FALSE(checkHead("HTTP/1.1 304 X\r\nContent-Length: 4\r\n\r\n"));
+}
+
 TEST_CASE("checkTrailer, valid trailers, are accepted")
 {
     for (const char* end : { "0\r\n\r\n", "4\r\nbody\r\n0\r\n\r\n", "4\r\nbody\r\n000;a=\"x: y\"\r\nA: 1\r\n0: 2\r\n\r\n", "4\r\n 1\r\n\r\n0 ;a\r\nA: 1\r\n\r\n" })
--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -242,6 +242,11 @@
                                                                                                     "Filler: 1",
              "X-Filler\x7f: 1", " " })
         responses.push_back({ line, "HTTP/1.1 200 X\r\n" + idLine + "X-Other: 1\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody" });
+    for (const std::string line : { "Transfer-Encoding: gzip", "Transfer-Encoding: gzip, chunked", "Content-Length: 3", "Transfer-Encoding: chunked" })
+        responses.push_back({ line, "HTTP/1.1 200 X\r\n" + sized + line + "\r\n\r\nbody" });
+    responses.push_back({ "chunks in another coding", "HTTP/1.1 200 X\r\n" + idLine + "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" });
+    responses.push_back({ "chunks with HTTP/1.0", "HTTP/1.0 200 X\r\n" + idLine + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" });
+    responses.push_back({ "length of a body without one", "HTTP/1.1 204 X\r\n" + sized + "\r\nbody" });
     return responses;
 }
 
--- a/tests/refused_responses_test.py
+++ b/tests/refused_responses_test.py
@@ -61,6 +61,41 @@
         yield f"{name}, last", f"{CHUNKED}\r\n4\r\nbody\r\n0;a=b\r\nX-Filler: 1\r\n{field}\r\n\r\n"
 
 
+AMBIGUOUS_FRAMINGS = {
+    "two lengths": "Content-Length: 4\r\nContent-Length: 3\r\n\r\nbody",
+    "list of lengths": "Content-Length: 4, 3\r\n\r\nbody",
+    "length with a sign": "Content-Length: +4\r\n\r\nbody",
+    "negative length": "Content-Length: -4\r\n\r\nbody",
+    "hexadecimal length": "Content-Length: 0x4\r\n\r\nbody",
+    "empty length": "Content-Length:\r\n\r\nbody",
+    "length beyond 64 bits": "Content-Length: 18446744073709551620\r\n\r\nbody",
+    "length and chunks": "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "chunks and length": "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "chunks twice": "Transfer-Encoding: chunked, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "chunked field twice": "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "other coding": "Transfer-Encoding: gzip\r\n\r\nbody",
+    "other coding and length": "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+    "other coding in chunks": "Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "chunks in another coding": "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "no coding": "Transfer-Encoding: identity\r\n\r\nbody",
+    "unknown coding": "Transfer-Encoding: xchunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    "empty coding": "Transfer-Encoding:\r\n\r\nbody",
+    "coding in the trailer": "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "chunk size without digits": "Transfer-Encoding: chunked\r\n\r\n;a=b\r\nbody\r\n0\r\n\r\n",
+    "chunk longer than its size": "Transfer-Encoding: chunked\r\n\r\n3\r\nbody\r\n0\r\n\r\n",
+    "chunk size with a sign": "Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n",
+}
+
+
+def ambiguous_framings():
+    for name, rest in AMBIGUOUS_FRAMINGS.items():
+        yield name, SIGNED + rest
+    yield "chunks with HTTP/1.0", (CHUNKED + "\r\n4\r\nbody\r\n0\r\n\r\n").replace("HTTP/1.1", "HTTP/1.0")
+    yield "length of a body without one", (SIGNED + "Content-Length: 4\r\n\r\nbody").replace("200 OK", "204 X")
+    yield "chunks of a body without one", (CHUNKED + "\r\n4\r\nbody\r\n0\r\n\r\n").replace("200 OK", "204 X")
+    yield "interim response with a length", "HTTP/1.1 103 X\r\nContent-Length: 4\r\n\r\n" + SIGNED + "Content-Length: 4\r\n\r\nbody"
+
+
 class BrokenOnce:
     """Behaviour of servers that write `text` as the first response to each request, and then end the connection; further ones to
     the same id are good."""
@@ -125,6 +160,10 @@
     check_all_refused(fixture, malformed_trailers())
 
 
+def responses_with_ambiguous_framing_are_refused(fixture):
+    check_all_refused(fixture, ambiguous_framings())
+
+
 def responses_without_a_signature_or_id_are_refused(fixture):
     check_all_refused(fixture, {
         "no signature": "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 4\r\n\r\nbody",
@@ -198,6 +237,7 @@
     "blank before a name": (b"\r\nContent-Length: ", b"\r\n X-Filler: 1\r\nContent-Length: "),
     "blank in a name": (b"\r\nContent-Length: ", b"\r\nX Filler: 1\r\nContent-Length: "),
     "control byte in a name": (b"\r\nContent-Length: ", b"\r\nX-\x01Filler: 1\r\nContent-Length: "),
+    "other coding": (b"\r\nContent-Length: ", b"\r\nTransfer-Encoding: gzip\r\nContent-Length: "),
     "two lengths": (b"\r\nContent-Length: ", b"\r\nContent-Length: 3\r\nContent-Length: "),
     "status line in a field": (b"\r\nContent-Length: ", b"\r\nX-Filler: HTTP/1.1 200 OK\r\nContent-Length: "),
 }
@@ -240,6 +280,7 @@
     responses_with_an_invalid_status_are_refused,
     responses_with_a_malformed_head_are_refused,
     responses_with_a_malformed_trailer_are_refused,
+    responses_with_ambiguous_framing_are_refused,
     responses_without_a_signature_or_id_are_refused,
     broken_responses_of_the_store_are_refused,
 ]
