A response that ends by the reset of its connection is refused, whichever operation the reset is reported to

Callers saw: a part of a body as a complete answer with status 200. The server had answered a long upload at once, without a length, and had reset the connection while the upload was still being written.

Cause: the host writes the request and reads the response at the same time. The kernel reports a reset to one operation only. If the write meets it, the read sees an end of the connection like any other, and the parser takes the response for complete. A path that is given up (ETIMEDOUT by TCP_USER_TIMEOUT) does the same.

Change: the result of the write is kept; a response without a length is complete at the end of the connection only if the write has not failed, or has met a broken pipe: this is what it gets for a reset that follows the orderly end (isCompleteAtConnectionEnd). Otherwise the error of the write is that of the attempt, so that a path that is down still counts as such.

Why it works: the reactor performs the write before the read, and their handlers run in this order, so that the error is known when the read ends.

Held: the role entry refuses responses without a length, and it and the clients of the store and of control traffic write before they read.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -170,8 +170,14 @@
         bool keepsConnection = false;
     };
 
+    /// \brief How far the sending of a request has got.
+    struct SendState {
+        bool complete = false;
+        boost::system::error_code error;
+    };
+
     // Reads step by step, as the memory for all responses together is limited.
-    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, const boost::system::error_code& sendError, boost::system::error_code& error)
     {
         MessageBuffers::Reservation reservation(buffers);
         const auto parser = co_await readResponseHead<http::string_body>(connection.stream, connection.buffer, method, buffers.maxBytes(), error);
@@ -179,7 +185,7 @@
             co_return std::nullopt;
         parser->eager(true);
         while (!parser->is_done() && !error) {
-            co_await readResponseBody(connection.stream, connection.buffer, *parser, error);
+            co_await readResponseBody(connection.stream, connection.buffer, *parser, sendError, error);
             if (!error && !reservation.resize(parser->get().body().size() + connection.buffer.size()))
                 error = http::error::body_limit;
         }
@@ -225,10 +231,10 @@
         log(Event("server-refuses").with("request", request.id).with("server", server.registration.id).with("period_ms", static_cast<long long>(period->count())));
     }
 
-    net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, const SendState& sent, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
-            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), error);
+            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), sent.error, error);
             if (error || !complete)
                 co_return complete;
             recordStatements(services, request, server, complete->message);
@@ -424,11 +430,11 @@
     ++request->possibleExecutions;
     // Writes and reads concurrently, as a server may respond before it has read a long body.
     const auto message = std::make_shared<RequestMessage>(messageFor(services, *request, *server));
-    const auto written = std::make_shared<bool>(false);
-    http::async_write(connection->stream, *message, [message, written, connection](const boost::system::error_code& error, std::size_t) { *written = !error; });
+    const auto sent = std::make_shared<SendState>();
+    http::async_write(connection->stream, *message, [message, sent, connection](const boost::system::error_code& error, std::size_t) { *sent = { !error, error }; });
     StallWatch watch(services, connection, std::move(stallPolicy));
     boost::system::error_code error;
-    auto complete = co_await readMatchingResponse(services, *request, *server, *connection, error);
+    auto complete = co_await readMatchingResponse(services, *request, *server, *connection, *sent, error);
     request->cancelAttempt = nullptr;
     if (error || !complete) {
         connection->stream.close();
@@ -436,7 +442,7 @@
     }
     if (statesNotRun(services.headerNames, complete->message))
         recordRefusal(*connection, request->id);
-    const bool reusable = complete->keepsConnection && *written && connection->buffer.size() == 0;
+    const bool reusable = complete->keepsConnection && sent->complete && connection->buffer.size() == 0;
     if (reusable)
         addIdleConnection(*server, connection, services.clock.now(), keepAliveTimeout(complete->message));
     else
--- a/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.cpp
@@ -158,4 +158,8 @@
     return ResponseFault::MalformedTrailer;
 }
 
+// A reset is reported to one operation only: once sending has met it, reading sees an end like any other. Sending meets a broken
+// pipe instead if the server had ended the connection in order before.
+bool isCompleteAtConnectionEnd(const std::error_code& sendError) { return !sendError || sendError == std::errc::broken_pipe; }
+
 } // namespace lacewingsail
--- a/packages/http/lacewingsail/src/Http/ResponseCheck.h
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.h
@@ -52,6 +52,10 @@
 /// \param end the last bytes of the response, from before its last chunk on.
 std::error_code checkTrailer(std::string_view end);
 
+/// \brief Decides whether a response whose length is not stated is complete when its connection ends.
+/// \param sendError how the sending of the request has failed, if it has.
+bool isCompleteAtConnectionEnd(const std::error_code& sendError);
+
 } // namespace lacewingsail
 
 template <>
--- a/packages/http/lacewingsail/src/Http/ResponseReader.h
+++ b/packages/http/lacewingsail/src/Http/ResponseReader.h
@@ -80,9 +80,10 @@
 }
 
 /// \brief Reads some of the body, as boost::beast::http::async_read_some() does, and checks how it ends.
+/// \param sendError how the sending of the request has failed by then, if it has.
 template <typename Stream, typename Parser>
 boost::asio::awaitable<void> readResponseBody(
-    Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::system::error_code& error)
+    Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, const boost::system::error_code& sendError, boost::system::error_code& error)
 {
     for (;;) {
         if (buffer.size() > 0) {
@@ -96,8 +97,10 @@
         }
         co_await internal::readMore(stream, buffer, error);
         if (error == boost::asio::error::eof) {
-            error = {};
-            parser.put_eof(error);
+            if (isCompleteAtConnectionEnd(sendError))
+                parser.put_eof(error);
+            else
+                error = sendError;
             co_return;
         }
         if (error)
@@ -115,7 +118,7 @@
     if (parser)
         parser->eager(true);
     while (!error && !parser->is_done())
-        co_await readResponseBody(stream, buffer, *parser, error);
+        co_await readResponseBody(stream, buffer, *parser, {}, error);
     if (error)
         co_return std::nullopt;
     co_return parser->release();
--- a/packages/proxy/lacewingsail/src/Proxy/AnswerSource.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/AnswerSource.cpp
@@ -25,7 +25,7 @@
     m_connection->stream.expires_after(bound);
     // One read at a time, so that what a slow server has sent is passed on at once and each pause is bounded.
     while (!m_parser.is_done() && body.size == m_piece.size()) {
-        co_await readResponseBody(m_connection->stream, m_connection->buffer, m_parser, error);
+        co_await readResponseBody(m_connection->stream, m_connection->buffer, m_parser, {}, error);
         if (error == http::error::need_buffer)
             error = {};
         if (error)
--- a/scripts/fleet/gateway_fixture.py
+++ b/scripts/fleet/gateway_fixture.py
@@ -91,9 +91,9 @@
         for host in self.hosts:
             host.await_ready()
 
-    def publish(self, routes, accounts):
+    def publish(self, routes, accounts, max_body_bytes=1 << 20):
         self.version += 3
-        self.store.put("keyed.op", "config", configuration(self.version, routes, accounts))
+        self.store.put("keyed.op", "config", configuration(self.version, routes, accounts, max_body_bytes=max_body_bytes))
 
     def set_behaviour(self, behaviour):
         for backend in self.backends:
--- a/scripts/fleet/platform_standins.py
+++ b/scripts/fleet/platform_standins.py
@@ -246,7 +246,8 @@
 class Backend:
     """A backend server that registers itself. `behaviour` is good, error, slow, slower, large, hang, reset, truncate, extra,
     unframed, unsigned, shed, one of ENDLESS, or a function that responds by itself: it gets the handler of the connection and
-    the body of a complete response, and says by `handler.record_execution()` that it runs the request. Requests for
+    the body of a complete response, and says by `handler.record_execution()` that it runs the request; one with the attribute
+    `before_body` is called before the body of the request has been read. Requests for
     `hanging_paths` get no response for a long time otherwise, `slow_paths` gives the seconds that others take. `executions` lists (id, account, path, Authorization) of every
     request that it ran. `endless` counts the endless responses that were begun, `abandoned` those of them that the receiver
     ended."""
@@ -310,8 +311,10 @@
                 backend.executions.append((self.headers["Attempt-Id"], self.headers.get("Tenant"), self.path, self.headers.get("Authorization")))
 
             def serve(self):
-                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 behaviour = backend.behaviour
+                if getattr(behaviour, "before_body", False) and self.headers.get("Target-Instance") == backend.name:
+                    return behaviour(self, f"{backend.name} {self.path} ".encode())
+                body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
                 if self.headers.get("Target-Instance") != backend.name:
                     return self.raw(421, b"", 0, signed=False, executed=False)
                 if behaviour == "shed":
@@ -387,7 +390,7 @@
     return host, int(port)
 
 
-def configuration(version, routes, accounts, services=("desk", "archive"), idle_timeout_s=15):
+def configuration(version, routes, accounts, services=("desk", "archive"), idle_timeout_s=15, max_body_bytes=1 << 20):
     """Returns a configuration as the operators publish it. `routes` are (prefix, kind, service or split, timeout, attempts,
     open)."""
     rules = []
@@ -398,7 +401,7 @@
                       "match": {"pathPrefix": prefix}, "action": action})
     return json.dumps({
         "version": f"r{version}",
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": idle_timeout_s},
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": max_body_bytes, "headerTimeoutS": 3, "idleTimeoutS": idle_timeout_s},
         "tenants": accounts,
         "listeners": [{"host": "clubs.example", "routeRules": rules}],
         "clusters": [{"name": name, "healthCheck": "/health", "maxConnections": 360, "protocol": "h1", "tls": False} for name in services],
--- a/tests/ResponseCheckTest.cpp
+++ b/tests/ResponseCheckTest.cpp
@@ -106,3 +106,11 @@
         CHECK(checkTrailer(end) == ResponseFault::MalformedTrailer);
     CHECK(checkTrailer("0\r\nA: HTTP/1.1 200 OK\r\n\r\n") == ResponseFault::RunsIntoAnother);
 }
+
+TEST_CASE("isCompleteAtConnectionEnd, sending the request has met a reset, is not")
+{
+    CHECK(isCompleteAtConnectionEnd({}));
+    CHECK(isCompleteAtConnectionEnd(std::make_error_code(std::errc::broken_pipe)));
+    for (const std::errc error : { std::errc::connection_reset, std::errc::timed_out, std::errc::host_unreachable, std::errc::operation_canceled })
+        CHECK_FALSE(isCompleteAtConnectionEnd(std::make_error_code(error)));
+}
--- a/tests/refused_responses_test.py
+++ b/tests/refused_responses_test.py
@@ -5,17 +5,25 @@
 passed on, whether its end is stated by a length, by chunks or by the end of the connection.
 """
 
+import contextlib
 import http.client
 import os
+import socket
+import struct
 import sys
+import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "scripts"))
 
-from backend_responses_test import CHUNKED, SIGNED, Exchange, complete_response
-from fleet.gateway_fixture import ACCOUNTS, ROUTES, check, run_cases
+from backend_responses_test import CHUNKED, PAUSE_S, SIGNED, Exchange, complete_response
+from fleet.gateway_fixture import ACCOUNTS, ROUTES, check, run_cases, send_request
 from fleet.processes import FleetError, wait_until
 
+UPLOAD_BYTES = 12 << 20
+# Small, so that the upload is still being written when its response ends.
+RECEIVE_BUFFER_BYTES = 4096
+RESETS = 12
 REQUEST_FIELDS = "Attempt-Id: ID\r\nResponse-Signature: s1\r\n"
 
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
@@ -231,6 +239,112 @@
     fixture.set_behaviour("good")
 
 
+class EarlyResponse:
+    """Behaviour of servers that respond to an upload without having read it, with a body that ends with the connection. `end` ends
+    the connection. Requests without a body, and further ones to the same id, get a good response at once."""
+
+    before_body = True
+
+    def __init__(self, end):
+        self.end, self.ended = end, set()
+
+    def __call__(self, handler, body):
+        request_id = handler.headers["Attempt-Id"]
+        handler.record_execution()
+        handler.close_connection = True
+        if request_id in self.ended:
+            with contextlib.suppress(OSError):
+                handler.rfile.read(int(handler.headers["Content-Length"]))
+                handler.wfile.write(b"".join(complete_response(handler, body)))
+            return
+        self.ended.add(request_id)
+        handler.wfile.write((SIGNED + "\r\nearly").replace("ID", request_id).encode())
+        # Until the bytes have been read: a reset may discard what the receiver has not read.
+        time.sleep(PAUSE_S * 10)
+        self.end(handler)
+
+
+def reset(handler):
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    handler.connection.close()
+
+
+def close_without_reading(handler):
+    # With unread data this resets the connection.
+    handler.connection.close()
+
+
+def end_and_read_on(handler):
+    handler.connection.shutdown(socket.SHUT_WR)
+    with contextlib.suppress(OSError):
+        while handler.connection.recv(1 << 20):
+            continue
+
+
+def end_and_reset_later(handler):
+    handler.connection.shutdown(socket.SHUT_WR)
+    time.sleep(PAUSE_S * 10)
+    reset(handler)
+
+
+def end_and_reset_at_once(handler):
+    handler.connection.shutdown(socket.SHUT_WR)
+    reset(handler)
+
+
+@contextlib.contextmanager
+def uploads(fixture):
+    """Allows large bodies, and lets the servers take in little of them."""
+    listeners = [backend.server.socket for backend in fixture.backends]
+    before = [listener.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF) for listener in listeners]
+    for listener in listeners:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    fixture.publish(ROUTES, ACCOUNTS, UPLOAD_BYTES)
+    upload = bytes(UPLOAD_BYTES)
+    wait_until(lambda: send_request(fixture.hosts[0].callers, "POST", "/look/1", body=upload).status == 200, "large bodies to be accepted")
+    try:
+        yield upload
+    finally:
+        fixture.set_behaviour("good")
+        for listener, size in zip(listeners, before):
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
+        fixture.publish(ROUTES, ACCOUNTS)
+
+
+def early_response_that_is_reset_is_refused(fixture):
+    with uploads(fixture) as upload:
+        for end in (reset, close_without_reading):
+            seen = []
+            for _ in range(RESETS):
+                fixture.set_behaviour(EarlyResponse(end))
+                response = send_request(fixture.hosts[0].callers, "POST", "/book/1", body=upload)
+                seen.append((response.status, response.body))
+                check(len(fixture.executions(response.request_id)) == 1, f"{end.__name__}: executions")
+            check({status for status, _ in seen} == {502}, f"{end.__name__}: {sorted(set(seen))}")
+            await_refusals(fixture, (response.request_id,), end.__name__)
+
+
+def early_response_that_is_reset_is_replaced_on_a_repeatable_route(fixture):
+    with uploads(fixture) as upload:
+        statuses = []
+        for _ in range(RESETS):
+            fixture.set_behaviour(EarlyResponse(reset))
+            response = send_request(fixture.hosts[0].callers, "POST", "/look/1", body=upload)
+            statuses.append(response.status)
+            # After many failures no further server may be tried.
+            check(response.status == 502 or (response.status == 200 and response.body.startswith(b"i-")), f"status {response.status}, body {response.body!r}")
+        check(200 in statuses, f"no other server was tried: {statuses}")
+
+
+def early_response_that_ends_with_its_connection_is_passed_on(fixture):
+    with uploads(fixture) as upload:
+        for end in (end_and_read_on, end_and_reset_later, end_and_reset_at_once):
+            for _ in range(RESETS):
+                fixture.set_behaviour(EarlyResponse(end))
+                response = send_request(fixture.hosts[0].callers, "POST", "/book/1", body=upload)
+                check(response.status == 200 and response.body == b"early", f"{end.__name__}: status {response.status}, body {response.body!r}")
+
+
 STORE_FAULTS = {
     "invalid status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 000 OK\r\n"),
     "interim status": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 100 OK\r\n"),
@@ -282,6 +396,9 @@
     responses_with_a_malformed_trailer_are_refused,
     responses_with_ambiguous_framing_are_refused,
     responses_without_a_signature_or_id_are_refused,
+    early_response_that_is_reset_is_refused,
+    early_response_that_is_reset_is_replaced_on_a_repeatable_route,
+    early_response_that_ends_with_its_connection_is_passed_on,
     broken_responses_of_the_store_are_refused,
 ]
 
