A response whose signature or id is named by its Connection field is refused

Callers saw: a success without the signature of the server, or without the id of their request.

Cause: the fields that Connection names are removed before a response is written to the caller, but were still there when it was judged.

Evidence: "signature for one connection" and "id for one connection" of responses_without_a_signature_or_id_are_refused, status 200 before.

Change: these fields are removed before the response is judged. The Keep-Alive field is read first.

Why it works: what is judged is what the caller gets.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -440,11 +440,14 @@
         connection->stream.close();
         co_return reportFailure(services, *request, *server, watch.abandoned() || requestDeadline.expired() ? beast::error::timeout : error, startedAt);
     }
+    const Duration keepAlive = keepAliveTimeout(complete->message);
+    // Callers do not get fields that Connection names, so that these cannot be what makes a response valid.
+    eraseHopByHopFields(complete->message);
     if (statesNotRun(services.headerNames, complete->message))
         recordRefusal(*connection, request->id);
     const bool reusable = complete->keepsConnection && sent->complete && connection->buffer.size() == 0;
     if (reusable)
-        addIdleConnection(*server, connection, services.clock.now(), keepAliveTimeout(complete->message));
+        addIdleConnection(*server, connection, services.clock.now(), keepAlive);
     else
         connection->stream.close();
     AttemptReport report = reportResponse(services, *request, *server, std::move(complete->message), startedAt);
--- a/tests/refused_responses_test.py
+++ b/tests/refused_responses_test.py
@@ -175,6 +175,8 @@
 def responses_without_a_signature_or_id_are_refused(fixture):
     check_all_refused(fixture, {
         "no signature": "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 4\r\n\r\nbody",
+        "signature for one connection": SIGNED + "Connection: Response-Signature\r\nContent-Length: 4\r\n\r\nbody",
+        "id for one connection": SIGNED + "Connection: close, attempt-id\r\nContent-Length: 4\r\n\r\nbody",
         "content coding": SIGNED + "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
         "no id": "HTTP/1.1 200 OK\r\nResponse-Signature: s1\r\nContent-Length: 4\r\n\r\nbody",
         "status line in a field": SIGNED + "X-Filler: HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
