Calls between hosts: an answer without a valid message is no answer

Callers saw: nothing known; found while looking at each place where answers are read. A host took such an answer for one with default values: a coordinator without room, no tokens, no news, no units of an account.

Cause: for calls that do not block, the gRPC library (1.51) reports success if the status is 0, although the message is missing, broken off or cannot be parsed. Its blocking calls report an error.

Change: startCall() of package peers receives the bytes, parses them and reports a call as answered only then; a refused answer is logged. The role gateway (exchange, tokens, placements) and the role entry (draws, loans, evidence) call through it.

Why it works: a message that is missing or cannot be parsed is seen where it is parsed, in one place.

--- a/packages/detection/lacewingsail/src/Detection/EvidencePeers.cpp
+++ b/packages/detection/lacewingsail/src/Detection/EvidencePeers.cpp
@@ -118,7 +118,7 @@
     struct TellCall {
         grpc::ClientContext context;
         protocol::EvidenceDigest reply;
-        std::unique_ptr<protocol::Evidence::Stub> stub;
+        std::shared_ptr<grpc::Channel> channel;
     };
 
 } // namespace internal
@@ -161,16 +161,16 @@
         }
         auto call = std::make_shared<internal::TellCall>();
         prepareCall(call->context, settings.fleetSecret, internal::tellTimeout);
-        call->stub = protocol::Evidence::NewStub(channels.to(peer.peers));
+        call->channel = channels.to(peer.peers);
         auto request = std::make_shared<protocol::EvidenceDigest>(message);
         bytesSent.fetch_add(message.ByteSizeLong(), std::memory_order_relaxed);
         messagesSent.fetch_add(1, std::memory_order_relaxed);
-        call->stub->async()->Tell(&call->context, request.get(), &call->reply, [this, call, request](const grpc::Status& status) { end(*call, status); });
+        startCall(call->channel, call->context, protocol::Evidence::service_full_name(), "Tell", *request, call->reply, [this, call, request](bool answered) { end(*call, answered); });
     }
 
-    void end(const internal::TellCall& call, const grpc::Status& status)
+    void end(const internal::TellCall& call, bool answered)
     {
-        if (status.ok() && !call.reply.host().empty()) {
+        if (answered && !call.reply.host().empty()) {
             bytesReceived.fetch_add(call.reply.ByteSizeLong(), std::memory_order_relaxed);
             state.take(internal::digestOf(call.reply, SystemClock().now()));
         }
--- a/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
+++ b/packages/exchange/lacewingsail/src/Exchange/GatewayCalls.cpp
@@ -2,7 +2,7 @@
 
 #include "ExchangeCodec.h"
 
-#include <lacewingsail/Peers.h>
+#include <lacewingsail/PeerCalls.h>
 
 #include <grpcpp/grpcpp.h>
 
@@ -250,15 +250,15 @@
     PeerChannels channels;
     std::unique_ptr<PeerServer> server;
 
-    /// \returns a function that ends \p call and passes on to the event loop whether it was answered.
+    /// \brief Starts \p call. \param callback called on the event loop with whether it was answered.
     template <typename CallPointer, typename Callback>
-    auto onEnd(CallPointer call, Callback callback)
+    void start(std::string_view method, CallPointer call, Callback callback)
     {
         outgoing.add(call->context);
-        return [this, call, callback = std::move(callback)](const grpc::Status& status) {
-            loop.post([call, callback, ok = status.ok()] { callback(ok); });
+        startCall(call->channel, call->context, protocol::Gateways::service_full_name(), method, *call->request, call->reply, [this, call, callback = std::move(callback)](bool answered) {
+            loop.post([call, callback, answered] { callback(answered); });
             outgoing.remove(call->context);
-        };
+        });
     }
 };
 
@@ -281,10 +281,9 @@
     call->channel = m_implementation->channels.to(endpoint);
     call->request = std::move(request);
     call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
-    protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Exchange(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+    m_implementation->start("Exchange", call, [call, callback = std::move(callback)](bool ok) {
         callback(ok ? &call->reply : nullptr);
-    }));
+    });
 }
 
 void GatewayCalls::requestTokens(const Endpoint& endpoint, const TokenDemand& demand, TokenCallback callback)
@@ -295,12 +294,11 @@
     call->request->set_account(demand.account.value());
     call->request->set_wanted(static_cast<std::uint32_t>(demand.wanted));
     call->context.set_deadline(std::chrono::system_clock::now() + internal::tokenTimeout);
-    protocol::Gateways::Stub stub(call->channel);
-    stub.async()->TakeTokens(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+    m_implementation->start("TakeTokens", call, [call, callback = std::move(callback)](bool ok) {
         if (!ok || call->reply.unknown())
             return callback({ ok, std::nullopt });
         callback({ ok, TokenGrant { static_cast<int>(call->reply.granted()), std::chrono::milliseconds(call->reply.retry_after_ms()) } });
-    }));
+    });
 }
 
 namespace internal {
@@ -334,18 +332,16 @@
     const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
     internal::encode(cell, demand, *call->request->mutable_demand());
     call->context.set_deadline(std::chrono::system_clock::now() + internal::placementTimeout);
-    protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Place(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, [call, callback = std::move(callback)](bool ok) {
+    m_implementation->start("Place", call, [call, callback = std::move(callback)](bool ok) {
         callback({ ok, ok ? internal::decodePlaceReply(call->reply) : std::nullopt });
-    }));
+    });
 }
 
 void GatewayCalls::reportOutcomes(const Endpoint& endpoint, const std::vector<PlacementOutcome>& outcomes, DeliveryCallback callback)
 {
     const auto call = internal::makePlaceCall(m_implementation->channels, endpoint, outcomes);
     call->context.set_deadline(std::chrono::system_clock::now() + internal::exchangeTimeout);
-    protocol::Gateways::Stub stub(call->channel);
-    stub.async()->Place(&call->context, call->request.get(), &call->reply, m_implementation->onEnd(call, std::move(callback)));
+    m_implementation->start("Place", call, std::move(callback));
 }
 
 } // namespace lacewingsail
--- a/packages/limits/lacewingsail/src/Limits/LimitCalls.cpp
+++ b/packages/limits/lacewingsail/src/Limits/LimitCalls.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 struct LimitCalls::DrawCall {
-    std::unique_ptr<protocol::Limits::Stub> stub;
+    std::shared_ptr<grpc::Channel> channel;
     grpc::ClientContext context;
     protocol::DrawRequest request;
     protocol::DrawReply reply;
@@ -26,7 +26,7 @@
 };
 
 struct LimitCalls::LoanCall {
-    std::unique_ptr<protocol::Limits::Stub> stub;
+    std::shared_ptr<grpc::Channel> channel;
     grpc::ClientContext context;
     protocol::LoanRequest request;
     protocol::LoanReply reply;
@@ -99,15 +99,15 @@
 {
     beginCall();
     auto call = std::make_shared<DrawCall>();
-    call->stub = protocol::Limits::NewStub(m_channels.to(pooler.peers));
+    call->channel = m_channels.to(pooler.peers);
     prepareCall(call->context, m_fleetSecret, drawTimeout);
     call->request = drawRequest(m_self, m_incarnation, blockRequests);
     call->blockRequests = std::move(blockRequests);
     countMessage(m_metrics, "draw-request-sent", call->request.ByteSizeLong());
     const MonotonicTime requestedAt = m_clock.now();
-    call->stub->async()->Draw(&call->context, &call->request, &call->reply, [this, call, requestedAt, host = pooler.id](const grpc::Status& status) {
-        recordHeard(host, status.ok());
-        if (status.ok())
+    startCall(call->channel, call->context, protocol::Limits::service_full_name(), "Draw", call->request, call->reply, [this, call, requestedAt, host = pooler.id](bool answered) {
+        recordHeard(host, answered);
+        if (answered)
             m_ledgers.applyGrants(host, call->blockRequests, grantsOf(call->request, call->reply), requestedAt);
         else
             m_ledgers.recordDrawFailure(call->blockRequests);
@@ -120,14 +120,14 @@
     if (!beginLoan(lender.id))
         return;
     auto call = std::make_shared<LoanCall>();
-    call->stub = protocol::Limits::NewStub(m_channels.to(lender.peers));
+    call->channel = m_channels.to(lender.peers);
     prepareCall(call->context, m_fleetSecret, loanTimeout);
     call->request = loanRequest(m_self, m_incarnation, accounts);
     countMessage(m_metrics, "loan-request-sent", call->request.ByteSizeLong());
     // The clock is read before the request is sent, since the lender counts the same term from its receipt.
     const MonotonicTime requestedAt = m_clock.now();
-    call->stub->async()->Lend(&call->context, &call->request, &call->reply, [this, call, requestedAt, host = lender.id](const grpc::Status& status) {
-        if (status.ok())
+    startCall(call->channel, call->context, protocol::Limits::service_full_name(), "Lend", call->request, call->reply, [this, call, requestedAt, host = lender.id](bool answered) {
+        if (answered)
             m_ledgers.applyLoans(host, offersOf(call->request, call->reply), requestedAt);
         endLoan(host);
     });
--- a/packages/peers/lacewingsail/src/Peers/Calls.cpp
+++ b/packages/peers/lacewingsail/src/Peers/Calls.cpp
@@ -1,5 +1,11 @@
+#include <lacewingsail/Observe.h>
 #include <lacewingsail/PeerCalls.h>
 
+#include <grpcpp/generic/generic_stub.h>
+#include <grpcpp/impl/codegen/proto_utils.h>
+
+#include <utility>
+
 namespace lacewingsail {
 
 namespace internal {
@@ -30,6 +36,25 @@
     return internal::equalInConstantTime(std::string_view(found->second.data(), found->second.size()), fleetSecret);
 }
 
+// The generated stubs report success for an answer without a message, or with one that cannot be parsed, if the call does not block.
+void startCall(const std::shared_ptr<grpc::Channel>& channel, grpc::ClientContext& context, std::string_view service, std::string_view method,
+    const google::protobuf::Message& request, google::protobuf::Message& reply, std::function<void(bool answered)> onEnd)
+{
+    using Message = google::protobuf::Message;
+    std::string path("/");
+    path.append(service).append("/").append(method);
+    auto bytes = std::make_shared<grpc::ByteBuffer>();
+    grpc::TemplatedGenericStub<Message, grpc::ByteBuffer> stub(channel);
+    stub.UnaryCall(&context, path, {}, &request, bytes.get(), [&context, &reply, path, bytes, onEnd = std::move(onEnd)](const grpc::Status& status) {
+        bool answered = status.ok();
+        if (answered && !(bytes->Valid() && grpc::SerializationTraits<Message>::Deserialize(bytes.get(), &reply).ok())) {
+            log(Event("response-refused").with("request", path).with("server", context.peer()).with("reason", "no valid message"));
+            answered = false;
+        }
+        onEnd(answered);
+    });
+}
+
 grpc::Status notFromFleet() { return { grpc::StatusCode::PERMISSION_DENIED, "not a host of the fleet" }; }
 
 } // namespace lacewingsail
--- a/tests/GatewayCallsTest.cpp
+++ b/tests/GatewayCallsTest.cpp
@@ -4,15 +4,22 @@
 
 #include <lacewingsail/exchange.grpc.pb.h>
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace lacewingsail;
@@ -191,3 +198,189 @@
     REQUIRE(result->reply);
     CHECK(result->reply->server == BackendServerId("i-1"));
 }
+
+namespace {
+
+/// \brief A host that answers each call with the same frames of HTTP/2.
+class FrameServer {
+public:
+    enum class Type : char {
+        Data = 0,
+        Headers = 1,
+        Reset = 3,
+        Settings = 4,
+        GoAway = 7,
+    };
+    enum class End {
+        KeepConnection,
+        CloseConnection,
+    };
+    struct Frame {
+        Type type;
+        char flags;
+        std::string payload;
+    };
+
+    static constexpr char endStream = 1;
+    static constexpr char endHeaders = 4;
+
+    FrameServer(std::vector<Frame> answer, End end)
+        : m_answer(std::move(answer))
+        , m_end(end)
+        , m_listener(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(m_endpoint.port);
+        const int reuse = 1;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+        REQUIRE(::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+        REQUIRE(::listen(m_listener, 8) == 0);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~FrameServer()
+    {
+        ::shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_listener);
+    }
+    FrameServer(const FrameServer&) = delete;
+    FrameServer& operator=(const FrameServer&) = delete;
+
+    const Endpoint& endpoint() const { return m_endpoint; }
+    int answered() const { return m_answered; }
+
+private:
+    static constexpr std::size_t prefaceBytes = 24;
+    static constexpr std::size_t frameHeaderBytes = 9;
+
+    void serve()
+    {
+        for (int connection = ::accept(m_listener, nullptr, nullptr); connection >= 0; connection = ::accept(m_listener, nullptr, nullptr)) {
+            serveConnection(connection);
+            ::close(connection);
+        }
+    }
+
+    void serveConnection(int connection)
+    {
+        send(connection, { Type::Settings, 0, {} }, std::string(4, '\0'));
+        if (!receive(connection, prefaceBytes))
+            return;
+        while (const auto header = receive(connection, frameHeaderBytes)) {
+            const auto byteAt = [&header](std::size_t index) { return static_cast<std::size_t>(static_cast<unsigned char>((*header)[index])); };
+            if (!receive(connection, byteAt(0) << 16 | byteAt(1) << 8 | byteAt(2)))
+                return;
+            const bool endsRequest = byteAt(3) <= static_cast<std::size_t>(Type::Headers) && (byteAt(4) & endStream) != 0;
+            if (!endsRequest)
+                continue;
+            for (const Frame& frame : m_answer)
+                send(connection, frame, header->substr(5));
+            ++m_answered;
+            if (m_end == End::CloseConnection)
+                return;
+        }
+    }
+
+    static void send(int connection, const Frame& frame, const std::string& stream)
+    {
+        std::string bytes;
+        for (const int shift : { 16, 8, 0 })
+            bytes += static_cast<char>(frame.payload.size() >> shift);
+        bytes += static_cast<char>(frame.type);
+        bytes += frame.flags;
+        bytes += (frame.type == Type::GoAway ? std::string(4, '\0') : stream) + frame.payload;
+        ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    static std::optional<std::string> receive(int connection, std::size_t size)
+    {
+        std::string bytes(size, '\0');
+        if (size > 0 && ::recv(connection, bytes.data(), size, MSG_WAITALL) != static_cast<ssize_t>(size))
+            return std::nullopt;
+        return bytes;
+    }
+
+    const std::vector<Frame> m_answer;
+    const End m_end;
+    const Endpoint m_endpoint { "127.0.0.1", freePort() };
+    const int m_listener;
+    std::atomic<int> m_answered { 0 };
+    std::thread m_thread;
+};
+
+using Frame = FrameServer::Frame;
+using FrameType = FrameServer::Type;
+
+// Literal fields without indexing.
+std::string encodeFields(const std::vector<std::pair<std::string, std::string>>& fields)
+{
+    std::string block;
+    for (const auto& [name, value] : fields)
+        block += std::string(1, '\0') + static_cast<char>(name.size()) + name + static_cast<char>(value.size()) + value;
+    return block;
+}
+
+Frame head(const std::string& status, const std::vector<std::pair<std::string, std::string>>& more = {})
+{
+    std::vector<std::pair<std::string, std::string>> fields { { ":status", status }, { "content-type", "application/grpc" } };
+    fields.insert(fields.end(), more.begin(), more.end());
+    return { FrameType::Headers, FrameServer::endHeaders, encodeFields(fields) };
+}
+
+// An empty message behind its prefix.
+const Frame message { FrameType::Data, 0, std::string(5, '\0') };
+const Frame trailer { FrameType::Headers, FrameServer::endHeaders | FrameServer::endStream, encodeFields({ { "grpc-status", "0" } }) };
+
+/// \returns whether a call that is answered by \p frames has a reply.
+bool hasReply(GatewayCallsFixture& fixture, const std::vector<Frame>& frames, FrameServer::End end = FrameServer::End::KeepConnection)
+{
+    const FrameServer server(frames, end);
+    bool replied = false;
+    // On a busy machine a call may fail at its deadline before it has reached the server; it is then made again.
+    while (server.answered() == 0) {
+        fixture.caller->exchange(server.endpoint(), std::make_unique<protocol::ExchangeRequest>(), [&](const protocol::ExchangeReply* reply) { replied = reply != nullptr; });
+        fixture.callerLoop.runOne();
+    }
+    // Ends the connection, which the server waits for.
+    fixture.caller.reset();
+    std::error_code error;
+    fixture.caller = std::make_unique<GatewayCalls>(fixture.callerLoop, Endpoint { "127.0.0.1", freePort() }, fixture.handlers, error);
+    REQUIRE_FALSE(error);
+    return replied;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(GatewayCallsFixture, "exchange, whole answer of a host, is a reply")
+{
+    CHECK(hasReply(*this, { head("200"), message, trailer }));
+}
+
+TEST_CASE_FIXTURE(GatewayCallsFixture, "exchange, answer with another status, is no reply")
+{
+    for (const char* status : { "000", "099", "101", "503", "600", "abc", "" }) {
+        CAPTURE(status);
+        CHECK_FALSE(hasReply(*this, { head(status), message, trailer }));
+    }
+}
+
+TEST_CASE_FIXTURE(GatewayCallsFixture, "exchange, answer that is broken off, is no reply")
+{
+    const Frame reset { FrameType::Reset, 0, std::string(4, '\0') };
+    const Frame cut { FrameType::Data, 0, std::string(5, '\x01') };
+    CHECK_FALSE(hasReply(*this, { head("200"), message, reset }));
+    CHECK_FALSE(hasReply(*this, { head("200"), message }, FrameServer::End::CloseConnection));
+    CHECK_FALSE(hasReply(*this, { head("200"), cut, trailer }));
+    CHECK_FALSE(hasReply(*this, { head("200"), trailer }));
+}
+
+TEST_CASE_FIXTURE(GatewayCallsFixture, "exchange, message that cannot be parsed, is no reply")
+{
+    for (const std::string bytes : { "\xff", "\x08", "\x0a\x05x" }) {
+        CAPTURE(bytes);
+        const Frame malformed { FrameType::Data, 0, std::string(4, '\0') + static_cast<char>(bytes.size()) + bytes };
+        CHECK_FALSE(hasReply(*this, { head("200"), malformed, trailer }));
+    }
+}
