Tests of early responses that hold: with a length, and a reset of a short request's response

Both passed on: a response with a length is passed on whatever becomes of the upload behind it, and the reset of a response without one is refused if the request had been sent before.

--- a/tests/refused_responses_test.py
+++ b/tests/refused_responses_test.py
@@ -242,13 +242,13 @@
 
 
 class EarlyResponse:
-    """Behaviour of servers that respond to an upload without having read it, with a body that ends with the connection. `end` ends
-    the connection. Requests without a body, and further ones to the same id, get a good response at once."""
+    """Behaviour of servers that respond to a request without having read its body, and end the connection by `end`. Without
+    `fields` this is the end of the response, too. Further requests of the same id get a good response."""
 
     before_body = True
 
-    def __init__(self, end):
-        self.end, self.ended = end, set()
+    def __init__(self, end, fields=""):
+        self.end, self.fields, self.ended = end, fields, set()
 
     def __call__(self, handler, body):
         request_id = handler.headers["Attempt-Id"]
@@ -256,11 +256,11 @@
         handler.close_connection = True
         if request_id in self.ended:
             with contextlib.suppress(OSError):
-                handler.rfile.read(int(handler.headers["Content-Length"]))
+                handler.rfile.read(int(handler.headers.get("Content-Length", 0)))
                 handler.wfile.write(b"".join(complete_response(handler, body)))
             return
         self.ended.add(request_id)
-        handler.wfile.write((SIGNED + "\r\nearly").replace("ID", request_id).encode())
+        handler.wfile.write(f"{SIGNED}{self.fields}\r\nearly".replace("ID", request_id).encode())
         # Until the bytes have been read: a reset may discard what the receiver has not read.
         time.sleep(PAUSE_S * 10)
         self.end(handler)
@@ -326,6 +326,25 @@
             await_refusals(fixture, (response.request_id,), end.__name__)
 
 
+def response_without_a_length_that_is_reset_is_refused(fixture):
+    for _ in range(RESETS):
+        fixture.set_behaviour(EarlyResponse(reset))
+        response = send_request(fixture.hosts[0].callers, "POST", "/book/1")
+        check(response.status == 502 and len(fixture.executions(response.request_id)) == 1, f"status {response.status}, body {response.body!r}")
+    await_refusals(fixture, (response.request_id,), "response without a length")
+    fixture.set_behaviour("good")
+
+
+def early_response_with_a_length_is_passed_on(fixture):
+    """Whatever becomes of the upload and the connection behind it."""
+    with uploads(fixture) as upload:
+        for end in (reset, end_and_read_on):
+            for _ in range(RESETS):
+                fixture.set_behaviour(EarlyResponse(end, "Content-Length: 5\r\n"))
+                response = send_request(fixture.hosts[0].callers, "POST", "/book/1", body=upload)
+                check(response.status == 200 and response.body == b"early", f"{end.__name__}: status {response.status}, body {response.body!r}")
+
+
 def early_response_that_is_reset_is_replaced_on_a_repeatable_route(fixture):
     with uploads(fixture) as upload:
         statuses = []
@@ -400,6 +419,8 @@
     responses_without_a_signature_or_id_are_refused,
     early_response_that_is_reset_is_refused,
     early_response_that_is_reset_is_replaced_on_a_repeatable_route,
+    response_without_a_length_that_is_reset_is_refused,
+    early_response_with_a_length_is_passed_on,
     early_response_that_ends_with_its_connection_is_passed_on,
     broken_responses_of_the_store_are_refused,
 ]
