--- a/packages/http/lacewingsail/src/Http/ResponseReader.h
+++ b/packages/http/lacewingsail/src/Http/ResponseReader.h
@@ -14,31 +14,35 @@
 
 namespace lacewingsail {
 
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
 /// Interim (1xx) responses that may precede a response.
 constexpr int maxInterimResponses = 8;
 
 namespace internal {
 
-    inline std::string_view unparsedBytes(const boost::beast::flat_buffer& buffer)
+    inline std::string_view unparsedBytes(const beast::flat_buffer& buffer)
     {
         return { static_cast<const char*>(buffer.data().data()), buffer.size() };
     }
 
     /// \brief Reads some bytes. \param error buffer_overflow if the buffer is full, eof at the end of the connection.
     template <typename Stream>
-    boost::asio::awaitable<void> readMore(Stream& stream, boost::beast::flat_buffer& buffer, boost::system::error_code& error)
+    net::awaitable<void> readMore(Stream& stream, beast::flat_buffer& buffer, boost::system::error_code& error)
     {
         constexpr std::size_t maxReadBytes = 64 * 1024;
-        const std::size_t space = boost::beast::read_size(buffer, maxReadBytes);
+        const std::size_t space = beast::read_size(buffer, maxReadBytes);
         if (space == 0) {
-            error = boost::beast::http::error::buffer_overflow;
+            error = http::error::buffer_overflow;
             co_return;
         }
-        buffer.commit(co_await stream.async_read_some(buffer.prepare(space), boost::asio::redirect_error(boost::asio::use_awaitable, error)));
+        buffer.commit(co_await stream.async_read_some(buffer.prepare(space), net::redirect_error(net::use_awaitable, error)));
     }
 
     template <typename Stream, typename Parser>
-    boost::asio::awaitable<void> readOneHead(Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, boost::system::error_code& error)
+    net::awaitable<void> readOneHead(Stream& stream, beast::flat_buffer& buffer, Parser& parser, boost::system::error_code& error)
     {
         ResponseHeadCheck check;
         for (;;) {
@@ -46,13 +50,13 @@
             if (error || check.size() > 0)
                 break;
             co_await readMore(stream, buffer, error);
-            if (error == boost::asio::error::eof)
-                error = buffer.size() == 0 ? boost::beast::http::error::end_of_stream : boost::beast::http::error::partial_message;
+            if (error == net::error::eof)
+                error = buffer.size() == 0 ? http::error::end_of_stream : http::error::partial_message;
             if (error)
                 break;
         }
         if (!error)
-            buffer.consume(parser.put(boost::asio::buffer(buffer.data(), check.size()), error));
+            buffer.consume(parser.put(net::buffer(buffer.data(), check.size()), error));
     }
 
 } // namespace internal
@@ -61,29 +65,29 @@
 /// \param maxBodyBytes none if the body is not limited.
 /// \param error set unless the head is complete and valid.
 template <typename Body, typename Stream>
-boost::asio::awaitable<std::unique_ptr<boost::beast::http::response_parser<Body>>> readResponseHead(
-    Stream& stream, boost::beast::flat_buffer& buffer, boost::beast::http::verb method, std::optional<std::uint64_t> maxBodyBytes, boost::system::error_code& error)
+net::awaitable<std::unique_ptr<http::response_parser<Body>>> readResponseHead(
+    Stream& stream, beast::flat_buffer& buffer, http::verb method, std::optional<std::uint64_t> maxBodyBytes, boost::system::error_code& error)
 {
     for (int interim = 0; interim <= maxInterimResponses; ++interim) {
-        auto parser = std::make_unique<boost::beast::http::response_parser<Body>>();
+        auto parser = std::make_unique<http::response_parser<Body>>();
         parser->header_limit(maxUnparsedBytes);
         parser->body_limit(maxBodyBytes ? boost::optional<std::uint64_t>(*maxBodyBytes) : boost::none);
-        parser->skip(method == boost::beast::http::verb::head);
+        parser->skip(method == http::verb::head);
         co_await internal::readOneHead(stream, buffer, *parser, error);
         if (error)
             co_return nullptr;
         if (parser->get().result_int() >= 200)
             co_return parser;
     }
-    error = boost::beast::http::error::unexpected_body;
+    error = http::error::unexpected_body;
     co_return nullptr;
 }
 
-/// \brief Reads some of the body, as boost::beast::http::async_read_some() does, and checks how it ends.
+/// \brief Reads some of the body, as http::async_read_some() does, and checks how it ends.
 /// \param sendError how the sending of the request has failed by then, if it has.
 template <typename Stream, typename Parser>
-boost::asio::awaitable<void> readResponseBody(
-    Stream& stream, boost::beast::flat_buffer& buffer, Parser& parser, const boost::system::error_code& sendError, boost::system::error_code& error)
+net::awaitable<void> readResponseBody(
+    Stream& stream, beast::flat_buffer& buffer, Parser& parser, const boost::system::error_code& sendError, boost::system::error_code& error)
 {
     for (;;) {
         if (buffer.size() > 0) {
@@ -91,12 +95,12 @@
             if (!error && parser.is_done() && parser.chunked())
                 error = checkTrailer(internal::unparsedBytes(buffer).substr(0, parsed));
             buffer.consume(parsed);
-            if (error != boost::beast::http::error::need_more)
+            if (error != http::error::need_more)
                 co_return;
             error = {};
         }
         co_await internal::readMore(stream, buffer, error);
-        if (error == boost::asio::error::eof) {
+        if (error == net::error::eof) {
             if (isCompleteAtConnectionEnd(sendError))
                 parser.put_eof(error);
             else
@@ -111,8 +115,8 @@
 /// \brief Reads the whole response to a request that has been sent.
 /// \param error set unless the response is complete and valid.
 template <typename Body, typename Stream>
-boost::asio::awaitable<std::optional<boost::beast::http::response<Body>>> readResponse(
-    Stream& stream, boost::beast::flat_buffer& buffer, boost::beast::http::verb method, std::uint64_t maxBodyBytes, boost::system::error_code& error)
+net::awaitable<std::optional<http::response<Body>>> readResponse(
+    Stream& stream, beast::flat_buffer& buffer, http::verb method, std::uint64_t maxBodyBytes, boost::system::error_code& error)
 {
     const auto parser = co_await readResponseHead<Body>(stream, buffer, method, maxBodyBytes, error);
     if (parser)
@@ -128,8 +132,8 @@
 inline bool isRefusal(const boost::system::error_code& error)
 {
     const std::error_code standard = error;
-    const bool fromParser = error.category() == boost::beast::http::make_error_code(boost::beast::http::error::bad_status).category();
-    return standard.category() == responseFaultCategory() || (fromParser && error != boost::beast::http::error::end_of_stream);
+    const bool fromParser = error.category() == http::make_error_code(http::error::bad_status).category();
+    return standard.category() == responseFaultCategory() || (fromParser && error != http::error::end_of_stream);
 }
 
 } // namespace lacewingsail
