--- a/tests/WholeAnswerTest.cpp
+++ b/tests/WholeAnswerTest.cpp
@@ -260,9 +260,9 @@
 
 TEST_CASE("attempt, response that is no valid message, is refused, recorded and a booking is sent once")
 {
-    for (const auto& [name, bytes] : refusedResponses()) {
-        CAPTURE(name);
-        const ProxyFixture broken([&](const std::string&, int) -> ScriptedBackend::Reply { return { bytes, Then::Close }; });
+    for (const RefusedResponse& refused : refusedResponses()) {
+        CAPTURE(refused.name);
+        const ProxyFixture broken([&](const std::string&, int) -> ScriptedBackend::Reply { return { refused.bytes, Then::Close }; });
         const std::string answer = broken.exchange(post);
         CHECK(answer.starts_with("HTTP/1.1 502"));
         CHECK(has(answer, "X-Lacewingsail-Execution: unknown"));
@@ -270,7 +270,7 @@
         CHECK(recordsRefusal(broken));
         std::atomic<int> requests { 0 };
         const ProxyFixture repeated([&](const std::string&, int) -> ScriptedBackend::Reply {
-            return ++requests == 1 ? ScriptedBackend::Reply { bytes, Then::Close } : ScriptedBackend::Reply { header(200, 5) + "whole", Then::GoOn };
+            return ++requests == 1 ? ScriptedBackend::Reply { refused.bytes, Then::Close } : ScriptedBackend::Reply { header(200, 5) + "whole", Then::GoOn };
         });
         CHECK(bodyOf(repeated.exchange(get)) == "whole");
     }
