Role entry: a response that is no valid message counts as an invalid one again

A response that runs into another one had been reported as invalid (upstream-wrong-answer) by this role, and as a broken connection since the check moved to the reader. All faults of a response are reported as invalid now; 502 as before.

--- a/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
+++ b/packages/gateway/lacewingsail/src/Gateway/BackendAttempt.cpp
@@ -177,7 +177,7 @@
     };
 
     // Reads step by step, as the memory for all responses together is limited.
-    net::awaitable<std::optional<CompleteResponse>> readResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, const boost::system::error_code& sendError, boost::system::error_code& error)
+    net::awaitable<std::optional<CompleteResponse>> readOneResponse(MessageBuffers& buffers, BackendConnection& connection, http::verb method, const boost::system::error_code& sendError, boost::system::error_code& error)
     {
         MessageBuffers::Reservation reservation(buffers);
         const auto parser = co_await readResponseHead<http::string_body>(connection.stream, connection.buffer, method, buffers.maxBytes(), error);
@@ -234,7 +234,7 @@
     net::awaitable<std::optional<CompleteResponse>> readMatchingResponse(RequestServices& services, const RequestState& request, BackendState& server, BackendConnection& connection, const SendState& sent, boost::system::error_code& error)
     {
         for (int stale = 0; stale <= maxStaleResponses; ++stale) {
-            auto complete = co_await readResponse(services.responseBuffers, connection, request.message.method(), sent.error, error);
+            auto complete = co_await readOneResponse(services.responseBuffers, connection, request.message.method(), sent.error, error);
             if (error || !complete)
                 co_return complete;
             recordStatements(services, request, server, complete->message);
--- a/packages/http/lacewingsail/src/Http/ResponseCheck.h
+++ b/packages/http/lacewingsail/src/Http/ResponseCheck.h
@@ -41,10 +41,12 @@
     std::size_t m_checked = 0;
     std::size_t m_size = 0;
     unsigned m_status = 0;
+    /// Whether the version has transfer codings.
     bool m_codingsAllowed = false;
     int m_codings = 0;
     bool m_chunked = false;
     bool m_statesLength = false;
+    /// Whether a length is stated that is not 0.
     bool m_statesBody = false;
 };
 
--- a/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
+++ b/packages/proxy/lacewingsail/src/Proxy/Attempt.cpp
@@ -66,11 +66,15 @@
     {
         if (request.callerDisconnected)
             return AttemptOutcome::Cancelled;
+        if (std::error_code(error).category() == responseFaultCategory())
+            return AttemptOutcome::InvalidResponse;
         return error == beast::error::timeout ? AttemptOutcome::Stalled : AttemptOutcome::ConnectionBroken;
     }
 
     ResultCode codeOf(AttemptOutcome outcome)
     {
+        if (outcome == AttemptOutcome::InvalidResponse)
+            return ResultCode::UpstreamWrongAnswer;
         return outcome == AttemptOutcome::Stalled ? ResultCode::UpstreamTimeout : ResultCode::UpstreamBroken;
     }
 
