--- a/review/lib-2/fleet2.py
+++ b/review/lib-2/fleet2.py
@@ -466,7 +466,7 @@
             case.note("rule broken" if broken else "rule held")
             print("rule broken" if broken else "rule held")
             return 1 if broken else 0
-        except (CannotRun, OSError, asyncio.TimeoutError) as problem:
+        except Exception as problem:  # pylint: disable=broad-except
             case.note(f"could not run: {problem!r}")
             print(f"could not run: {problem!r}")
             return 2
